--- a/src/main/java/gingerusher/benchlink/Fields.java
+++ b/src/main/java/gingerusher/benchlink/Fields.java
@@ -3,10 +3,8 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.IOException;
-import java.util.ArrayList;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
+import lemondeal.codec.Json;
 
 /** Reads the values of one array in sequence; null and missing values read alike. */
 final class Fields {
@@ -128,38 +126,7 @@
       return null;
     }
     expect(in.currentToken() == JsonToken.START_OBJECT, field, "an object");
-    return objectHere();
-  }
-
-  private Map<String, Object> objectHere() throws IOException {
-    Map<String, Object> map = new LinkedHashMap<>();
-    while (in.nextToken() == JsonToken.FIELD_NAME) {
-      String name = in.currentName();
-      in.nextToken();
-      map.put(name, valueHere());
-    }
-    return map;
-  }
-
-  private Object valueHere() throws IOException {
-    switch (in.currentToken()) {
-      case START_OBJECT:
-        return objectHere();
-      case START_ARRAY:
-        List<Object> list = new ArrayList<>();
-        while (in.nextToken() != JsonToken.END_ARRAY) {
-          list.add(valueHere());
-        }
-        return list;
-      case VALUE_STRING:
-        return in.getText();
-      case VALUE_NUMBER_INT, VALUE_NUMBER_FLOAT:
-        return in.getDoubleValue();
-      case VALUE_TRUE, VALUE_FALSE:
-        return in.getBooleanValue();
-      default:
-        return null;
-    }
+    return Json.objectHere(in);
   }
 
   private void expect(boolean holds, String field, String what) {
--- a/src/main/java/gingerusher/benchlink/WireReader.java
+++ b/src/main/java/gingerusher/benchlink/WireReader.java
@@ -27,6 +27,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import lemondeal.config.ConfigException;
+import lemondeal.config.SettingsReader;
 
 /** Reads one batch of the wire, a line of JSON, into the module's events. */
 final class WireReader {
@@ -127,7 +129,11 @@
     if (settings == null) {
       throw new WireException("ENLIST: settings is missing");
     }
-    return new Start(seed, SettingsReader.read(settings));
+    try {
+      return new Start(seed, SettingsReader.read(settings));
+    } catch (ConfigException e) {
+      throw new WireException(e.getMessage());
+    }
   }
 
   private static Event serverList(Fields in) throws IOException {
--- /dev/null
+++ b/src/main/java/lemondeal/Main.java
@@ -0,0 +1,47 @@
+package lemondeal;
+
+import gingerusher.Logic;
+import java.io.IOException;
+import lemondeal.config.Config;
+import lemondeal.config.ConfigException;
+import lemondeal.proxy.Proxy;
+
+/** The program: {@code serve} runs one real proxy, {@code benchlink} the module on the simulator's wire. */
+public final class Main {
+  private static final int BAD_USE = 2;
+
+  private Main() {}
+
+  public static void main(String[] args) throws IOException {
+    String word = args.length == 1 ? args[0] : "";
+    switch (word) {
+      case "serve" -> serve();
+      case "benchlink" -> gingerusher.benchlink.Main.main(args);
+      default -> {
+        System.err.println("usage: java -jar lemondeal.jar serve | benchlink");
+        System.exit(BAD_USE);
+      }
+    }
+  }
+
+  private static void serve() {
+    try {
+      Proxy proxy = new Proxy(Config.read(System.getenv()), new Logic(), System.err);
+      proxy.start();
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(proxy), "stop"));
+    } catch (ConfigException | IOException e) {
+      System.err.println("lemondeal: " + e.getMessage());
+      System.exit(BAD_USE);
+    }
+  }
+
+  /** Runs on SIGTERM; the process ends when this returns. */
+  private static void stop(Proxy proxy) {
+    try {
+      proxy.stop();
+      Runtime.getRuntime().halt(0);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/codec/HttpParser.java
@@ -0,0 +1,162 @@
+package lemondeal.codec;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
+
+/** Reads one HTTP/1.1 answer as it comes and gives out its body line by line. */
+public final class HttpParser {
+
+  /** What the answer brings, in order. */
+  public interface Sink {
+    void status(int code) throws ProtocolException;
+
+    /** A line of the body without its end; the last one may lack an end in the body. */
+    void line(String line) throws ProtocolException;
+
+    void end();
+  }
+
+  private enum State { STATUS, HEADERS, SIZE, CHUNK, CHUNK_END, TRAILERS, FIXED, UNTIL_CLOSE, OVER }
+
+  private static final int LONGEST_HEAD_LINE = 8192;
+  private static final int MOST_HEADERS = 100;
+
+  private final Sink sink;
+  private final int longestLine;
+  private final LineParser head = new LineParser(LONGEST_HEAD_LINE);
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream();
+  private State state = State.STATUS;
+  private boolean chunked;
+  private long left = -1;
+  private int headers;
+
+  public HttpParser(int longestLine, Sink sink) {
+    this.longestLine = longestLine;
+    this.sink = sink;
+  }
+
+  public void take(ByteBuffer in) throws ProtocolException {
+    while (in.hasRemaining() && state != State.OVER) {
+      switch (state) {
+        case CHUNK, FIXED, UNTIL_CLOSE -> body(in);
+        default -> headLine(in);
+      }
+    }
+  }
+
+  /** The connection has ended; only a body without a length may end so. */
+  public void ended() throws ProtocolException {
+    if (state == State.UNTIL_CLOSE) {
+      finish();
+    } else if (state != State.OVER) {
+      throw new ProtocolException("the answer breaks off");
+    }
+  }
+
+  private void headLine(ByteBuffer in) throws ProtocolException {
+    String line = head.next(in);
+    if (line == null) {
+      return;
+    }
+    switch (state) {
+      case STATUS -> status(line);
+      case HEADERS -> header(line);
+      case SIZE -> chunkSize(line);
+      case CHUNK_END -> chunkEnd(line);
+      default -> trailer(line);
+    }
+  }
+
+  private void status(String line) throws ProtocolException {
+    if (!line.matches("HTTP/1\\.[01] \\d{3}( .*)?")) {
+      throw new ProtocolException("not a status line: " + OpenLine.shown(line));
+    }
+    state = State.HEADERS;
+    sink.status(Integer.parseInt(line.substring(9, 12)));
+  }
+
+  private void header(String line) throws ProtocolException {
+    if (line.isEmpty()) {
+      state = chunked ? State.SIZE : left < 0 ? State.UNTIL_CLOSE : State.FIXED;
+      if (state == State.FIXED && left == 0) {
+        finish();
+      }
+      return;
+    }
+    int colon = line.indexOf(':');
+    if (colon <= 0 || ++headers > MOST_HEADERS) {
+      throw new ProtocolException("not a header: " + OpenLine.shown(line));
+    }
+    String value = line.substring(colon + 1).trim();
+    switch (line.substring(0, colon).toLowerCase(Locale.ROOT)) {
+      case "transfer-encoding" -> chunked = value.equalsIgnoreCase("chunked");
+      case "content-length" -> left = length(value, 10);
+      default -> { }
+    }
+  }
+
+  private void chunkSize(String line) throws ProtocolException {
+    int semicolon = line.indexOf(';');
+    left = length((semicolon < 0 ? line : line.substring(0, semicolon)).trim(), 16);
+    state = left == 0 ? State.TRAILERS : State.CHUNK;
+  }
+
+  private static long length(String digits, int radix) throws ProtocolException {
+    try {
+      if (!digits.isEmpty() && Character.digit(digits.charAt(0), radix) >= 0) {
+        return Integer.parseInt(digits, radix);
+      }
+    } catch (NumberFormatException e) {
+      // Told below with the digits themselves.
+    }
+    throw new ProtocolException("not a length: " + OpenLine.shown(digits));
+  }
+
+  private void chunkEnd(String line) throws ProtocolException {
+    if (!line.isEmpty()) {
+      throw new ProtocolException("a chunk is longer than it says");
+    }
+    state = State.SIZE;
+  }
+
+  private void trailer(String line) throws ProtocolException {
+    if (line.isEmpty()) {
+      finish();
+    }
+  }
+
+  private void body(ByteBuffer in) throws ProtocolException {
+    while (in.hasRemaining() && (state == State.UNTIL_CLOSE || left > 0)) {
+      byte b = in.get();
+      left--;
+      if (b == '\n') {
+        line();
+      } else if (body.size() >= longestLine) {
+        throw new ProtocolException("a line of the body is longer than " + longestLine + " bytes");
+      } else {
+        body.write(b);
+      }
+    }
+    if (left == 0 && state == State.CHUNK) {
+      state = State.CHUNK_END;
+    } else if (left == 0 && state == State.FIXED) {
+      finish();
+    }
+  }
+
+  private void line() throws ProtocolException {
+    String line = body.toString(StandardCharsets.UTF_8);
+    body.reset();
+    sink.line(line.endsWith("\r") ? line.substring(0, line.length() - 1) : line);
+  }
+
+  private void finish() throws ProtocolException {
+    state = State.OVER;
+    if (body.size() > 0) {
+      line();
+    }
+    sink.end();
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/codec/LineParser.java
@@ -0,0 +1,51 @@
+package lemondeal.codec;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** Cuts bytes, as they come, into lines that end in CRLF. */
+public final class LineParser {
+  private static final int FIRST_SIZE = 64;
+
+  private final int longest;
+  private byte[] line = new byte[FIRST_SIZE];
+  private int length;
+
+  /** {@code longest} counts the line's end too. */
+  public LineParser(int longest) {
+    this.longest = longest;
+  }
+
+  /** Takes bytes up to the next line's end; returns that line without its end, or null if it is not whole. */
+  public String next(ByteBuffer in) throws ProtocolException {
+    while (in.hasRemaining()) {
+      byte b = in.get();
+      if (b == '\n') {
+        return finish();
+      }
+      if (length + 1 >= longest) {
+        throw new ProtocolException("a line is longer than " + longest + " bytes");
+      }
+      if (length == line.length) {
+        line = Arrays.copyOf(line, Math.min(longest, 2 * length));
+      }
+      line[length++] = b;
+    }
+    return null;
+  }
+
+  private String finish() throws ProtocolException {
+    if (length == 0 || line[length - 1] != '\r') {
+      throw new ProtocolException("a line does not end in CRLF");
+    }
+    String text = new String(line, 0, length - 1, StandardCharsets.ISO_8859_1);
+    length = 0;
+    return text;
+  }
+
+  /** Whether the bytes so far end inside a line. */
+  public boolean midLine() {
+    return length > 0;
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/config/Addresses.java
@@ -0,0 +1,25 @@
+package lemondeal.config;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+
+/** Reads {@code address:port}. */
+public final class Addresses {
+  private Addresses() {}
+
+  /** Numeric addresses only: there is no DNS, and a look-up would stop the I/O thread. */
+  public static InetSocketAddress parse(String text) {
+    int colon = text.lastIndexOf(':');
+    String host = colon < 0 ? "" : text.substring(0, colon);
+    if (!host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]")) {
+      throw new IllegalArgumentException("'" + text + "' is no numeric address:port");
+    }
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      return new InetSocketAddress(InetAddress.getByName(host), port);
+    } catch (UnknownHostException | IllegalArgumentException e) {
+      throw new IllegalArgumentException("'" + text + "' is no numeric address:port");
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/config/Config.java
@@ -0,0 +1,91 @@
+package lemondeal.config;
+
+import gingerusher.Balancer.Settings;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import lemondeal.codec.Json;
+import lemondeal.codec.ProtocolException;
+
+/**
+ * What a proxy is told at its start, by the environment and the file that it names.
+ *
+ * @param known the list of servers in discovery's form, as this proxy last had it
+ */
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
+    Map<String, Object> known, Settings settings, Names names, Limits limits) {
+
+  /** Names that stand on sockets where the module has indices. */
+  public record Names(List<String> classes, List<String> zones, List<String> models) {}
+
+  private static final int DEFAULT_SOCKETS = 1024;
+  private static final int DEFAULT_MEMORY_MB = 192;
+  private static final long DEFAULT_DIAL = 150_000;
+  private static final long DEFAULT_KEEPALIVE = 5_000_000;
+
+  /** Reads {@code GW_CONFIG}; {@code GW_NAME}, {@code GW_LISTEN} and {@code GW_DISCOVERY} go before it. */
+  public static Config read(Map<String, String> environment) {
+    String file = environment.get("GW_CONFIG");
+    if (file == null || file.isEmpty()) {
+      throw new ConfigException("GW_CONFIG names no file");
+    }
+    Part root = new Part("config", object(file));
+    Part settings = root.part("settings");
+    Part permissions = settings.part("permissions");
+    Part limits = root.part("limits");
+    return new Config(
+        environment.getOrDefault("GW_NAME", root.text("name", "proxy")),
+        address("listen", environment.getOrDefault("GW_LISTEN", root.text("listen", ""))),
+        address("discovery", environment.getOrDefault("GW_DISCOVERY", root.text("discovery", ""))),
+        seed(root.text("seed", "0")), root.part("known").values(), SettingsReader.read(settings.values()),
+        new Names(names(settings.parts("profiles")), texts(settings.list("azs")), texts(settings.list("flavors"))),
+        Limits.of((int) limits.whole("sockets", DEFAULT_SOCKETS), (int) limits.whole("memory_mb", DEFAULT_MEMORY_MB),
+            permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE)));
+  }
+
+  private static Map<String, Object> object(String file) {
+    try {
+      return Json.object(Files.readString(Path.of(file)));
+    } catch (IOException e) {
+      throw new ConfigException("cannot read " + file + ": " + e);
+    } catch (ProtocolException e) {
+      throw new ConfigException(file + ": " + e.getMessage());
+    }
+  }
+
+  private static long seed(String digits) {
+    try {
+      return Long.parseUnsignedLong(digits, 16);
+    } catch (NumberFormatException e) {
+      throw new ConfigException("seed should be up to 16 hex digits, found " + digits);
+    }
+  }
+
+  private static InetSocketAddress address(String what, String text) {
+    try {
+      return Addresses.parse(text);
+    } catch (IllegalArgumentException e) {
+      throw new ConfigException(what + ": " + e.getMessage());
+    }
+  }
+
+  private static List<String> names(List<Part> parts) {
+    List<String> names = new ArrayList<>();
+    for (Part part : parts) {
+      names.add(part.text("name", ""));
+    }
+    return names;
+  }
+
+  private static List<String> texts(List<Object> values) {
+    List<String> texts = new ArrayList<>();
+    for (Object value : values) {
+      texts.add(String.valueOf(value));
+    }
+    return texts;
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/config/Limits.java
@@ -0,0 +1,58 @@
+package lemondeal.config;
+
+/**
+ * Every size, count and time that bounds the proxy, filled once at start and handed down. Times are in
+ * microseconds.
+ *
+ * @param lineBytes longest line of the protocol, its end included
+ * @param ringBytes a ring buffer; holds at least one longest line and a final {@code MOVE}
+ * @param listLineBytes longest line in an answer of discovery
+ * @param clients client links held at once; those beyond are throttled
+ * @param accepted connections accepted at once, those being throttled included
+ * @param tick of the timer wheel
+ * @param wheelSlots in the timer wheel
+ * @param dial a connection not up by then could not be had
+ * @param answerLead how much earlier than the client the module believes that the client gives up
+ * @param firstLine a client that has not sent its first line by then is sent away
+ * @param silence a line unanswered this long tells that the server answers nothing any more
+ * @param linger how long a closed side is still read, so that what was written to it arrives
+ * @param moveWithin a move that finds no end of a line by then is made all the same
+ * @param noteEvery least time between two notes on one server's delay
+ * @param noteShare share of the shortest message aim over which delays are noted
+ * @param probe the answer to a probe
+ * @param probeIdle a link kept for probes is closed after this
+ * @param watchSilence a watch that brings nothing for this long has failed
+ * @param adoptPause between two tries for a connection that was open before
+ * @param adoptFor how long it is tried
+ * @param throttleFor when a client is to come again that was throttled for want of room
+ * @param drainAccept how long connections still come after the order to stop
+ * @param drainMost the longest that a stop may take
+ */
+public record Limits(int lineBytes, int ringBytes, int listLineBytes, int clients, int accepted, long tick,
+    int wheelSlots, long dial, long answerLead, long firstLine, long silence, long linger, long moveWithin,
+    long noteEvery, double noteShare, long probe, long probeIdle, long watchSilence, long adoptPause,
+    long adoptFor, long throttleFor, long drainAccept, long drainMost) {
+
+  private static final long MILLI = 1_000;
+  private static final long SECOND = 1_000_000;
+  /** Descriptors that the program needs beside its clients' and servers': files, selectors, probes, lists. */
+  private static final int OWN_SOCKETS = 96;
+  /** Accepted connections beyond the clients, to be told that there is no room. */
+  private static final int SPARE_ACCEPTED = 32;
+  private static final int RING_BYTES = 8192;
+  /** Share of the memory that rings may take. */
+  private static final int RINGS_PART = 8;
+
+  /** Derives the counts from what the machine allows. */
+  public static Limits of(int sockets, int memoryMb, long dialTimeout, long keepalive) {
+    int bySockets = (sockets - OWN_SOCKETS - SPARE_ACCEPTED) / 2;
+    int byMemory = (int) Math.min(Integer.MAX_VALUE, ((long) memoryMb << 20) / RINGS_PART / (2 * RING_BYTES));
+    int clients = Math.min(bySockets, byMemory);
+    if (clients < 1) {
+      throw new ConfigException("limits: " + sockets + " sockets and " + memoryMb + " MB leave no room for clients");
+    }
+    return new Limits(4096, RING_BYTES, 1 << 20, clients, clients + SPARE_ACCEPTED, 5 * MILLI, 1024,
+        dialTimeout, 10 * MILLI, 10 * SECOND, 5 * SECOND, 500 * MILLI, 800 * MILLI, SECOND, 1.0 / 3, SECOND,
+        keepalive, 3500 * MILLI, 250 * MILLI, 35 * SECOND, SECOND, 450 * MILLI, 3500 * MILLI);
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/config/Part.java
@@ -0,0 +1,65 @@
+package lemondeal.config;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/** One JSON object of the settings or the configuration with typed look-ups; what is absent reads as zero, false or empty. */
+record Part(String name, Map<String, Object> values) {
+
+  @SuppressWarnings("unchecked")
+  Part part(String key) {
+    Object value = values.get(key);
+    check(value == null || value instanceof Map, key, "an object");
+    return new Part(name + "." + key, value == null ? Map.of() : (Map<String, Object>) value);
+  }
+
+  @SuppressWarnings("unchecked")
+  List<Part> parts(String key) {
+    List<Part> parts = new ArrayList<>();
+    for (Object value : list(key)) {
+      check(value instanceof Map, key, "a list of objects");
+      parts.add(new Part(name + "." + key, (Map<String, Object>) value));
+    }
+    return parts;
+  }
+
+  @SuppressWarnings("unchecked")
+  List<Object> list(String key) {
+    Object value = values.get(key);
+    check(value == null || value instanceof List, key, "a list");
+    return value == null ? List.of() : (List<Object>) value;
+  }
+
+  double number(String key) {
+    Object value = values.get(key);
+    check(value == null || value instanceof Double, key, "a number");
+    return value == null ? 0 : (Double) value;
+  }
+
+  long whole(String key) {
+    return (long) number(key);
+  }
+
+  long whole(String key, long absent) {
+    return values.containsKey(key) ? whole(key) : absent;
+  }
+
+  boolean flag(String key) {
+    Object value = values.get(key);
+    check(value == null || value instanceof Boolean, key, "true or false");
+    return value != null && (Boolean) value;
+  }
+
+  String text(String key, String absent) {
+    Object value = values.get(key);
+    check(value == null || value instanceof String, key, "a string");
+    return value == null ? absent : (String) value;
+  }
+
+  private void check(boolean holds, String key, String what) {
+    if (!holds) {
+      throw new ConfigException(name + ": " + key + " should be " + what);
+    }
+  }
+}
--- a/src/main/java/gingerusher/benchlink/SettingsReader.java
+++ b/src/main/java/lemondeal/config/SettingsReader.java
@@ -1,4 +1,4 @@
-package gingerusher.benchlink;
+package lemondeal.config;
 
 import gingerusher.Balancer.Effect;
 import gingerusher.Balancer.Limits;
@@ -13,15 +13,18 @@
 import java.util.List;
 import java.util.Map;
 
-/** Translates the settings object of the wire. Keys it does not know are ignored. */
-final class SettingsReader {
+/**
+ * Translates the settings object, as the simulator's wire and a proxy's configuration both carry it. Keys
+ * it does not know are ignored.
+ */
+public final class SettingsReader {
   private final Map<String, Object> top;
 
   private SettingsReader(Map<String, Object> top) {
     this.top = top;
   }
 
-  static Settings read(Map<String, Object> top) {
+  public static Settings read(Map<String, Object> top) {
     return new SettingsReader(top).settings();
   }
 
@@ -83,7 +86,7 @@
       case "idempotent" -> Effect.SAFE;
       case "deduplicated" -> Effect.KEYED;
       case "at_most_once" -> Effect.UNSAFE;
-      default -> throw new WireException("settings: unknown semantics " + word);
+      default -> throw new ConfigException("settings: unknown semantics " + word);
     };
   }
 
@@ -92,7 +95,7 @@
       case "all" -> RepeatScope.ALL;
       case "zone" -> RepeatScope.ZONE;
       case "cell" -> RepeatScope.CELL;
-      default -> throw new WireException("settings: unknown group " + word);
+      default -> throw new ConfigException("settings: unknown group " + word);
     };
   }
 
@@ -102,63 +105,7 @@
       case "nominal" -> WeightMeaning.NOMINAL;
       case "rough" -> WeightMeaning.ROUGH;
       case "live" -> WeightMeaning.LIVE;
-      default -> throw new WireException("settings: unknown weightSource " + word);
+      default -> throw new ConfigException("settings: unknown weightSource " + word);
     };
   }
-
-  /** One object of the settings with typed look-ups; what is absent reads as zero, false or empty. */
-  private record Part(String name, Map<String, Object> values) {
-
-    @SuppressWarnings("unchecked")
-    Part part(String key) {
-      Object value = values.get(key);
-      check(value == null || value instanceof Map, key, "an object");
-      return new Part(name + "." + key, value == null ? Map.of() : (Map<String, Object>) value);
-    }
-
-    @SuppressWarnings("unchecked")
-    List<Part> parts(String key) {
-      List<Part> parts = new ArrayList<>();
-      for (Object value : list(key)) {
-        check(value instanceof Map, key, "a list of objects");
-        parts.add(new Part(name + "." + key, (Map<String, Object>) value));
-      }
-      return parts;
-    }
-
-    @SuppressWarnings("unchecked")
-    List<Object> list(String key) {
-      Object value = values.get(key);
-      check(value == null || value instanceof List, key, "a list");
-      return value == null ? List.of() : (List<Object>) value;
-    }
-
-    double number(String key) {
-      Object value = values.get(key);
-      check(value == null || value instanceof Double, key, "a number");
-      return value == null ? 0 : (Double) value;
-    }
-
-    long whole(String key) {
-      return (long) number(key);
-    }
-
-    boolean flag(String key) {
-      Object value = values.get(key);
-      check(value == null || value instanceof Boolean, key, "true or false");
-      return value != null && (Boolean) value;
-    }
-
-    String text(String key, String absent) {
-      Object value = values.get(key);
-      check(value == null || value instanceof String, key, "a string");
-      return value == null ? absent : (String) value;
-    }
-
-    private void check(boolean holds, String key, String what) {
-      if (!holds) {
-        throw new WireException(name + ": " + key + " should be " + what);
-      }
-    }
-  }
 }
--- /dev/null
+++ b/src/main/java/lemondeal/discovery/Call.java
@@ -0,0 +1,145 @@
+package lemondeal.discovery;
+
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.function.Consumer;
+import lemondeal.codec.HttpParser;
+import lemondeal.codec.Json;
+import lemondeal.codec.ProtocolException;
+import lemondeal.config.Limits;
+import lemondeal.net.Dial;
+import lemondeal.net.Link;
+import lemondeal.net.Net;
+import lemondeal.net.Timers;
+
+/** One call to discovery, for a watch or for the whole list. Ends once: by failure, or with its last line. */
+final class Call implements Link.Owner, HttpParser.Sink {
+  private static final int OK = 200;
+
+  private final Timers timers;
+  private final Limits limits;
+  private final String path;
+  private final boolean watch;
+  private final Consumer<Map<String, Object>> listed;
+  private final Runnable failed;
+  private final HttpParser parser;
+  private Dial dial;
+  private Link link;
+  private Timers.Timer silence;
+  private boolean answered;
+  private boolean over;
+
+  /**
+   * @param listed is told each list or change; an empty one for a watch that has nothing new to say at first
+   * @param failed is told once, if the call ends without answer or a watch ends at all
+   */
+  Call(Timers timers, Limits limits, String path, boolean watch, Consumer<Map<String, Object>> listed,
+      Runnable failed) {
+    this.timers = timers;
+    this.limits = limits;
+    this.path = path;
+    this.watch = watch;
+    this.listed = listed;
+    this.failed = failed;
+    parser = new HttpParser(limits.listLineBytes(), this);
+  }
+
+  void start(Net net, InetSocketAddress address) {
+    String request = "GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
+        + "\r\nAccept: application/json\r\n\r\n";
+    heard();
+    dial = net.dial(address, limits.watchSilence(), opened -> {
+      link = opened;
+      link.start(this);
+      link.send(request);
+    }, this::fail);
+  }
+
+  /** Ends the call without a word. */
+  void stop() {
+    over = true;
+    Timers.cancel(silence);
+    if (dial != null) {
+      dial.cancel();
+    }
+    if (link != null) {
+      link.close();
+    }
+  }
+
+  /** Guards against a discovery that is cut off: its connection stays open and says nothing. */
+  private void heard() {
+    Timers.cancel(silence);
+    silence = timers.after(limits.watchSilence(), this::fail);
+  }
+
+  private void fail() {
+    if (!over) {
+      stop();
+      failed.run();
+    }
+  }
+
+  @Override
+  public int room() {
+    return Integer.MAX_VALUE;
+  }
+
+  @Override
+  public void received(ByteBuffer bytes) {
+    heard();
+    try {
+      parser.take(bytes);
+    } catch (ProtocolException e) {
+      fail();
+    }
+  }
+
+  @Override
+  public void ended() {
+    try {
+      parser.ended();
+    } catch (ProtocolException e) {
+      // An answer that breaks off has failed.
+    }
+    fail();
+  }
+
+  @Override
+  public void broken() {
+    fail();
+  }
+
+  @Override
+  public void flushed() {
+    // The request is sent; its answer is awaited.
+  }
+
+  @Override
+  public void status(int code) throws ProtocolException {
+    if (code != OK) {
+      throw new ProtocolException("discovery answers " + code);
+    }
+  }
+
+  @Override
+  public void line(String line) throws ProtocolException {
+    if (over || (line.isEmpty() && answered)) {
+      return;
+    }
+    answered = true;
+    listed.accept(line.isEmpty() ? Map.of() : Json.object(line));
+  }
+
+  @Override
+  public void end() {
+    if (!over) {
+      boolean whole = answered && !watch;
+      stop();
+      if (!whole) {
+        failed.run();
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/discovery/Discovery.java
@@ -0,0 +1,72 @@
+package lemondeal.discovery;
+
+import gingerusher.Balancer.ListKind;
+import gingerusher.Balancer.ServerList;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import lemondeal.codec.ProtocolException;
+import lemondeal.config.Limits;
+import lemondeal.net.Net;
+import lemondeal.net.Timers;
+
+/** Asks discovery on the module's word. When to ask again after a failure is the module's to say. */
+public final class Discovery {
+  private static final String LIST = "/api/targets";
+
+  private final Net net;
+  private final Timers timers;
+  private final Limits limits;
+  private final InetSocketAddress address;
+  private final HostGroup group;
+  private final Consumer<ServerList> told;
+  private Call watch;
+
+  public Discovery(Net net, Timers timers, Limits limits, InetSocketAddress address, HostGroup group,
+      Consumer<ServerList> told) {
+    this.net = net;
+    this.timers = timers;
+    this.limits = limits;
+    this.address = address;
+    this.group = group;
+    this.told = told;
+  }
+
+  /** Begins a new watch in place of any other, or ends it. */
+  public void watch(boolean on) {
+    if (watch != null) {
+      watch.stop();
+      watch = null;
+    }
+    if (on) {
+      watch = call(true);
+    }
+  }
+
+  /** Asks once for the whole list. */
+  public void fetch() {
+    call(false);
+  }
+
+  private Call call(boolean isWatch) {
+    String path = isWatch ? LIST + "?stream=1&index=" + group.generation() : LIST;
+    Call call = new Call(timers, limits, path, isWatch, this::listed, this::failed);
+    call.start(net, address);
+    return call;
+  }
+
+  private void listed(Map<String, Object> list) {
+    try {
+      told.accept(group.update(list));
+    } catch (ProtocolException e) {
+      // A list that can't be read: what is held stays, and a new watch begins with all that was missed.
+      watch(false);
+      failed();
+    }
+  }
+
+  private void failed() {
+    told.accept(new ServerList(group.generation(), ListKind.FAILED, List.of()));
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/discovery/HostGroup.java
@@ -0,0 +1,111 @@
+package lemondeal.discovery;
+
+import gingerusher.Balancer.ListKind;
+import gingerusher.Balancer.ServerEntry;
+import gingerusher.Balancer.ServerList;
+import gingerusher.Balancer.ServerState;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import lemondeal.codec.ProtocolException;
+import lemondeal.config.Addresses;
+import lemondeal.config.Config.Names;
+
+/**
+ * Discovery's list as this proxy has it: which version, and where each server is. The module knows servers
+ * by id, since an address may differ from one proxy to the next and all must rank alike.
+ */
+public final class HostGroup {
+  private final Names names;
+  private final Map<String, InetSocketAddress> addresses = new HashMap<>();
+  private long generation;
+
+  public HostGroup(Names names) {
+    this.names = names;
+  }
+
+  /** The version of the list held, from which changes are asked for. */
+  public long generation() {
+    return generation;
+  }
+
+  /** The server's address, or null if it is not in the list. */
+  public InetSocketAddress address(String server) {
+    return addresses.get(server);
+  }
+
+  /** Takes in the list as it stood before the start, possibly old. */
+  public ServerList saved(Map<String, Object> list) throws ProtocolException {
+    return take(list, ListKind.SAVED);
+  }
+
+  /** Takes in a list or a line of changes, whichever it says it is. */
+  public ServerList update(Map<String, Object> list) throws ProtocolException {
+    return take(list, Boolean.TRUE.equals(list.get("reset")) ? ListKind.FULL : ListKind.CHANGES);
+  }
+
+  /** Reads everything before it changes anything: a broken list must not be taken in by half. */
+  private ServerList take(Map<String, Object> list, ListKind kind) throws ProtocolException {
+    List<ServerEntry> entries = new ArrayList<>();
+    Map<String, InetSocketAddress> told = new HashMap<>();
+    if (!(list.getOrDefault("instances", List.of()) instanceof List<?> instances)) {
+      throw new ProtocolException("instances is no list");
+    }
+    for (Object instance : instances) {
+      if (!(instance instanceof Map<?, ?> values)) {
+        throw new ProtocolException("an instance is no object");
+      }
+      ServerEntry entry = entry(values);
+      entries.add(entry);
+      told.put(entry.server(), entry.state() == ServerState.GONE ? null : address(values));
+    }
+    generation = (long) number(list, "generation", generation);
+    if (kind != ListKind.CHANGES) {
+      addresses.clear();
+    }
+    addresses.putAll(told);
+    addresses.values().removeIf(address -> address == null);
+    return new ServerList(generation, kind, entries);
+  }
+
+  private ServerEntry entry(Map<?, ?> values) throws ProtocolException {
+    if (!(values.get("instanceId") instanceof String id) || id.isEmpty()) {
+      throw new ProtocolException("an instance has no id");
+    }
+    return new ServerEntry(id, index(names.zones(), values.get("zone")), (int) number(values, "cell", 0),
+        index(names.models(), values.get("machineType")), (long) (number(values, "startedAtMs", 0) * 1000),
+        state(values.get("lifecycle")), number(values, "weight", 1));
+  }
+
+  private static InetSocketAddress address(Map<?, ?> values) throws ProtocolException {
+    try {
+      return Addresses.parse(String.valueOf(values.get("hostPort")));
+    } catch (IllegalArgumentException e) {
+      throw new ProtocolException("hostPort: " + e.getMessage());
+    }
+  }
+
+  /** The place of a name in the settings' list; names that the settings lack come after them all. */
+  private static int index(List<String> known, Object name) {
+    if (name instanceof Double number) {
+      return number.intValue();
+    }
+    int index = known.indexOf(String.valueOf(name));
+    return index >= 0 ? index : known.size();
+  }
+
+  private static ServerState state(Object word) throws ProtocolException {
+    return switch (String.valueOf(word)) {
+      case "in_service" -> ServerState.READY;
+      case "terminating" -> ServerState.DRAINING;
+      case "terminated" -> ServerState.GONE;
+      default -> throw new ProtocolException("unknown lifecycle " + word);
+    };
+  }
+
+  private static double number(Map<?, ?> values, String name, double absent) {
+    return values.get(name) instanceof Double number ? number : absent;
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/net/Dial.java
@@ -0,0 +1,65 @@
+package lemondeal.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.Consumer;
+import org.xnio.IoFuture;
+import org.xnio.StreamConnection;
+
+/** A connection being opened. Tells its outcome once, on the I/O thread, unless it was called off. */
+public final class Dial {
+  private final Net net;
+  private final Consumer<Link> connected;
+  private final Runnable failed;
+  private IoFuture<StreamConnection> future;
+  private Timers.Timer timeout;
+  private boolean over;
+
+  Dial(Net net, Consumer<Link> connected, Runnable failed) {
+    this.net = net;
+    this.connected = connected;
+    this.failed = failed;
+  }
+
+  void start(InetSocketAddress address, long micros) {
+    timeout = net.timers().after(micros, this::fail);
+    future = net.open(address);
+    future.addNotifier((result, unused) -> net.later(() -> settled(result)), null);
+  }
+
+  /** Calls the dial off; nothing is told any more. */
+  public void cancel() {
+    if (!over) {
+      over = true;
+      Timers.cancel(timeout);
+      future.cancel();
+    }
+  }
+
+  private void settled(IoFuture<? extends StreamConnection> result) {
+    if (result.getStatus() != IoFuture.Status.DONE) {
+      fail();
+      return;
+    }
+    try {
+      Link link = net.adopt(result.get());
+      if (over) {
+        // The connection came up in the moment in which it was called off.
+        link.close();
+        return;
+      }
+      over = true;
+      timeout.cancel();
+      connected.accept(link);
+    } catch (IOException e) {
+      fail();
+    }
+  }
+
+  private void fail() {
+    if (!over) {
+      cancel();
+      failed.run();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/net/Net.java
@@ -0,0 +1,160 @@
+package lemondeal.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.concurrent.Callable;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import lemondeal.config.Limits;
+import org.xnio.IoFuture;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.Xnio;
+import org.xnio.XnioIoThread;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+
+/** XNIO with one I/O thread, on which everything runs; opens, accepts and counts links. */
+public final class Net {
+  private static final int SCRATCH_BYTES = 16 * 1024;
+  private static final int BACKLOG = 1024;
+  private static final OptionMap SOCKETS = OptionMap.builder().set(Options.TCP_NODELAY, true).getMap();
+
+  private final Limits limits;
+  private final RingPool rings;
+  private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
+  private final XnioWorker worker;
+  private final XnioIoThread thread;
+  private Timers timers;
+  private AcceptingChannel<StreamConnection> server;
+  private int open;
+  private boolean accepting;
+
+  public Net(Limits limits) throws IOException {
+    this.limits = limits;
+    rings = new RingPool(limits.ringBytes());
+    worker = Xnio.getInstance().createWorker(OptionMap.builder()
+        .set(Options.WORKER_NAME, "lemondeal")
+        .set(Options.WORKER_IO_THREADS, 1)
+        .set(Options.WORKER_TASK_CORE_THREADS, 0)
+        .set(Options.WORKER_TASK_MAX_THREADS, 1)
+        .set(Options.THREAD_DAEMON, false).getMap());
+    thread = worker.getIoThread();
+  }
+
+  /** Must be called before anything is opened. */
+  public void use(Timers newTimers) {
+    timers = newTimers;
+  }
+
+  /** Runs the task on the I/O thread, after what runs there now. */
+  public void later(Runnable task) {
+    thread.execute(task);
+  }
+
+  /** Runs the task on the I/O thread and waits for it. */
+  public void run(Callable<Void> task) throws IOException {
+    FutureTask<Void> future = new FutureTask<>(task);
+    thread.execute(future);
+    try {
+      future.get();
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    } catch (ExecutionException e) {
+      throw new IOException(e.getCause().getMessage(), e.getCause());
+    }
+  }
+
+  public XnioIoThread.Key laterBy(long micros, Runnable task) {
+    return thread.executeAfter(task, micros, TimeUnit.MICROSECONDS);
+  }
+
+  /** Accepts connections; beyond the limit they wait in the system's queue until others have closed. */
+  public void listen(InetSocketAddress address, Consumer<Link> accepted) throws IOException {
+    server = worker.createStreamConnectionServer(address, channel -> accept(accepted),
+        OptionMap.builder().addAll(SOCKETS).set(Options.REUSE_ADDRESSES, true)
+            .set(Options.BACKLOG, BACKLOG).getMap());
+    accepting = true;
+    server.resumeAccepts();
+  }
+
+  public InetSocketAddress localAddress() {
+    return server.getLocalAddress(InetSocketAddress.class);
+  }
+
+  public void stopListening() {
+    IoUtils.safeClose(server);
+    server = null;
+  }
+
+  private void accept(Consumer<Link> accepted) {
+    try {
+      while (server != null) {
+        if (open >= limits.accepted() + limits.clients()) {
+          accepting = false;
+          server.suspendAccepts();
+          return;
+        }
+        StreamConnection connection = server.accept();
+        if (connection == null) {
+          return;
+        }
+        accepted.accept(adopt(connection));
+      }
+    } catch (IOException e) {
+      // Out of descriptors, say: the connection waits in the system's queue and is tried again.
+      thread.executeAfter(() -> accept(accepted), limits.linger(), TimeUnit.MICROSECONDS);
+    }
+  }
+
+  /** Opens a connection; exactly one of the two is told, unless the dial is called off. */
+  public Dial dial(InetSocketAddress address, long timeout, Consumer<Link> connected, Runnable failed) {
+    Dial dial = new Dial(this, connected, failed);
+    dial.start(address, timeout);
+    return dial;
+  }
+
+  /** Ends the threads; all links should be closed by then. */
+  public void shutdown() {
+    worker.shutdown();
+  }
+
+  IoFuture<StreamConnection> open(InetSocketAddress address) {
+    return thread.openStreamConnection(address, null, SOCKETS);
+  }
+
+  Link adopt(StreamConnection connection) {
+    open++;
+    return new Link(this, connection);
+  }
+
+  void closed() {
+    open--;
+    if (!accepting && server != null) {
+      accepting = true;
+      server.resumeAccepts();
+    }
+  }
+
+  RingPool rings() {
+    return rings;
+  }
+
+  Timers timers() {
+    return timers;
+  }
+
+  Limits limits() {
+    return limits;
+  }
+
+  /** The buffer into which every link reads; its bytes are used up before the next read. */
+  ByteBuffer scratch(int most) {
+    return scratch.clear().limit(Math.min(most, SCRATCH_BYTES));
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/net/Ring.java
@@ -0,0 +1,59 @@
+package lemondeal.net;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import org.xnio.channels.StreamSinkChannel;
+
+/** The ring buffer of one direction of a connection. */
+final class Ring {
+  private ByteBuffer bytes;
+  private int head;
+  private int size;
+
+  Ring(ByteBuffer bytes) {
+    this.bytes = bytes;
+  }
+
+  /** Gives the memory back for reuse; whether anything was left unwritten can still be asked. */
+  void release(RingPool pool) {
+    pool.giveBack(bytes);
+    bytes = null;
+  }
+
+  int free() {
+    return bytes.capacity() - size;
+  }
+
+  boolean isEmpty() {
+    return size == 0;
+  }
+
+  /** Takes all of the bytes; the caller has made sure that there is room. */
+  void put(ByteBuffer source) {
+    if (source.remaining() > free()) {
+      throw new IllegalStateException("no room for " + source.remaining() + " bytes in " + free());
+    }
+    while (source.hasRemaining()) {
+      int tail = (head + size) % bytes.capacity();
+      int part = Math.min(source.remaining(), bytes.capacity() - tail);
+      bytes.limit(tail + part).position(tail);
+      ByteBuffer slice = source.slice().limit(part);
+      bytes.put(slice);
+      source.position(source.position() + part);
+      size += part;
+    }
+  }
+
+  /** Writes until the ring is empty or the socket takes no more. */
+  void writeTo(StreamSinkChannel sink) throws IOException {
+    while (size > 0) {
+      bytes.limit(Math.min(bytes.capacity(), head + size)).position(head);
+      int written = sink.write(bytes);
+      if (written <= 0) {
+        return;
+      }
+      size -= written;
+      head = size == 0 ? 0 : (head + written) % bytes.capacity();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/net/RingPool.java
@@ -0,0 +1,23 @@
+package lemondeal.net;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+
+/** Ring buffers off the heap, kept for reuse: such memory is returned late by the collector. */
+public final class RingPool {
+  private final int ringBytes;
+  private final ArrayDeque<ByteBuffer> spare = new ArrayDeque<>();
+
+  public RingPool(int ringBytes) {
+    this.ringBytes = ringBytes;
+  }
+
+  Ring take() {
+    ByteBuffer bytes = spare.poll();
+    return new Ring(bytes != null ? bytes : ByteBuffer.allocateDirect(ringBytes));
+  }
+
+  void giveBack(ByteBuffer bytes) {
+    spare.push(bytes.clear());
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/proxy/ClientLink.java
@@ -0,0 +1,421 @@
+package lemondeal.proxy;
+
+import gingerusher.Balancer.Adopted;
+import gingerusher.Balancer.Arrived;
+import gingerusher.Balancer.ClientGone;
+import gingerusher.Balancer.Ended;
+import gingerusher.Balancer.Established;
+import gingerusher.Balancer.LoadChanged;
+import gingerusher.Balancer.LoadReport;
+import gingerusher.Balancer.Outcome;
+import gingerusher.Balancer.Request;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import lemondeal.codec.LineParser;
+import lemondeal.codec.OpenLine;
+import lemondeal.codec.ProtocolException;
+import lemondeal.codec.ServerLine;
+import lemondeal.net.Link;
+import lemondeal.net.Timers;
+
+/**
+ * A client's side of a connection: its first line, its one final answer and, once its server says UP, what
+ * passes between the two. Owns the executions of its request, one at a time.
+ */
+final class ClientLink implements Link.Owner {
+  private static final long MILLI = 1000;
+  private static final String MOVE = "MOVE\r\n";
+  private static final String FAILED = "ERR\r\n";
+
+  private enum State { FIRST_LINE, WAITING, UP, OVER }
+
+  private final Context context;
+  private final Gate gate;
+  private final Link link;
+  private final LineParser lines;
+  /** What the client sent before UP, though it should have waited. */
+  private final ByteArrayOutputStream early = new ByteArrayOutputStream(0);
+  /** When the lines went out that the server has not answered yet. */
+  private final ArrayDeque<Long> unanswered = new ArrayDeque<>();
+  private State state = State.FIRST_LINE;
+  private String id;
+  private OpenLine open;
+  private Request request;
+  private long due;
+  private int attempts;
+  private Execution execution;
+  private Timers.Timer timer;
+  private boolean moving;
+
+  ClientLink(Context context, Gate gate, Link link) {
+    this.context = context;
+    this.gate = gate;
+    this.link = link;
+    lines = new LineParser(context.limits().lineBytes());
+  }
+
+  void start() {
+    timer = context.timers().after(context.limits().firstLine(), this::drop);
+    link.start(this);
+  }
+
+  boolean isUp() {
+    return state == State.UP;
+  }
+
+  // ---- First line ----------------------------------------------------------------------------
+
+  @Override
+  public int room() {
+    return switch (state) {
+      case FIRST_LINE -> context.limits().lineBytes();
+      case WAITING -> context.limits().lineBytes() - early.size();
+      default -> execution == null || execution.link() == null ? 0 : execution.link().free();
+    };
+  }
+
+  @Override
+  public void received(ByteBuffer bytes) {
+    try {
+      while (state == State.FIRST_LINE && bytes.hasRemaining()) {
+        String line = lines.next(bytes);
+        if (line != null) {
+          firstLine(line);
+        }
+      }
+      if (state == State.WAITING) {
+        while (bytes.hasRemaining()) {
+          early.write(bytes.get());
+        }
+      } else if (state == State.UP) {
+        toServer(bytes);
+      }
+    } catch (ProtocolException e) {
+      malformed();
+    }
+    bytes.position(bytes.limit());
+  }
+
+  private void firstLine(String line) throws ProtocolException {
+    if (line.equals("PING")) {
+      link.send("PONG\r\n");
+      return;
+    }
+    open = OpenLine.parse(line);
+    int requestClass = context.config().names().classes().indexOf(open.value("c"));
+    if (requestClass < 0) {
+      throw new ProtocolException("unknown class " + open.value("c"));
+    }
+    Timers.cancel(timer);
+    if (!gate.admits()) {
+      answer(busy(context.limits().throttleFor()));
+      return;
+    }
+    long now = context.now();
+    due = now + (long) (open.deadlineMillis() * MILLI);
+    id = gate.enter(this);
+    // The client counts from its sending: what the module believes ends a little earlier.
+    request = new Request(id, due - context.limits().answerLead(), requestClass, open.key(), open.value("g"),
+        open.number("h"), false, open.marked("again"), 0, open.marked("r"));
+    state = State.WAITING;
+    if (open.value("at") != null) {
+      adopt(now + context.limits().adoptFor());
+    } else {
+      timer = context.timers().after(due - now, this::overdue);
+      context.decisions().tell(new Arrived(request));
+    }
+  }
+
+  /** Bad input ends this connection alone, with an answer where one is owed. */
+  private void malformed() {
+    if (state == State.UP) {
+      endBoth(Outcome.CANCELLED);
+    } else if (state == State.WAITING) {
+      clientGone();
+    } else {
+      answer(FAILED);
+    }
+  }
+
+  private void drop() {
+    state = State.OVER;
+    link.close();
+  }
+
+  // ---- Executions ----------------------------------------------------------------------------
+
+  /** The first line as the server should see it. */
+  String firstLine(long millisLeft) {
+    return open.withDeadline(millisLeft);
+  }
+
+  void execute(String server, long patience) {
+    if (state != State.WAITING || execution != null) {
+      int number = attempts++;
+      context.decisions().tell(new Ended(id, number, server, Outcome.NOT_SENT, 0, state == State.OVER, null));
+      return;
+    }
+    long left = request.due() - context.now();
+    execution = new Execution(context, this, server, attempts++);
+    execution.start(patience == 0 ? left : Math.min(patience, left));
+  }
+
+  void cancel(int number) {
+    if (execution != null && execution.number() == number && state != State.UP) {
+      execution.cancel();
+    }
+  }
+
+  /** A connection that was open before: its server is given, and no decision is made. */
+  private void adopt(long until) {
+    if (state != State.WAITING) {
+      return;
+    }
+    if (context.now() >= until) {
+      answer(busy(context.limits().throttleFor()));
+      return;
+    }
+    due = until;
+    execution = new Execution(context, this, open.value("at"), attempts);
+    execution.start(until - context.now());
+  }
+
+  private boolean isAdoption() {
+    return open.value("at") != null;
+  }
+
+  void executionEnded(Execution ended, Outcome outcome, LoadReport report) {
+    execution = null;
+    boolean wasUp = state == State.UP;
+    if (isAdoption() && !wasUp) {
+      if (state == State.WAITING) {
+        timer = context.timers().after(context.limits().adoptPause(), () -> adopt(due));
+      }
+      return;
+    }
+    context.decisions().tell(new Ended(id, ended.number(), ended.server(), outcome, ended.elapsed(),
+        state != State.WAITING, report));
+  }
+
+  void up(Execution from, String line) {
+    state = State.UP;
+    Timers.cancel(timer);
+    link.send(line + "\r\n");
+    if (isAdoption()) {
+      context.decisions().tell(new Adopted(request, from.server()));
+    } else {
+      context.decisions().tell(new Established(id, from.number(), from.server(), from.elapsed()));
+    }
+    if (early.size() > 0) {
+      ByteBuffer bytes = ByteBuffer.wrap(early.toByteArray());
+      early.reset();
+      received(bytes);
+    }
+    if (gate.isClosing()) {
+      move();
+    }
+  }
+
+  /** A server that ends a connection without UP has served it to its end. */
+  void servedAtOnce(Execution from, String line, LoadReport report) {
+    answer(line + "\r\n");
+    from.end(Outcome.SERVED, report);
+  }
+
+  // ---- Final answers -------------------------------------------------------------------------
+
+  void throttle(long retryAfter) {
+    if (state == State.WAITING) {
+      answer(busy(retryAfter));
+    }
+  }
+
+  void fail() {
+    if (state == State.WAITING) {
+      answer(FAILED);
+    }
+  }
+
+  private static String busy(long micros) {
+    return micros <= 0 ? "BUSY\r\n" : "BUSY " + (micros + MILLI - 1) / MILLI + "\r\n";
+  }
+
+  private void answer(String line) {
+    leave();
+    link.send(line);
+    link.finish();
+  }
+
+  /** Guards the promise of an answer in time, should the module let a request lie. */
+  private void overdue() {
+    if (state == State.WAITING) {
+      answer(FAILED);
+      gone();
+    }
+  }
+
+  private void clientGone() {
+    leave();
+    link.close();
+    gone();
+  }
+
+  /** Tells the module that no answer is owed any more; an execution that it leaves out is ended all the same. */
+  private void gone() {
+    if (!isAdoption()) {
+      context.decisions().tell(new ClientGone(id));
+    }
+    if (execution != null) {
+      execution.cancel();
+    }
+  }
+
+  private void leave() {
+    state = State.OVER;
+    Timers.cancel(timer);
+    if (id != null) {
+      gate.leave(id);
+    }
+  }
+
+  // ---- Passing on ----------------------------------------------------------------------------
+
+  private void toServer(ByteBuffer bytes) throws ProtocolException {
+    ByteBuffer looked = bytes.duplicate();
+    while (looked.hasRemaining()) {
+      if (lines.next(looked) != null) {
+        lineFromClient();
+      }
+    }
+    execution.link().send(bytes);
+  }
+
+  private void lineFromClient() {
+    unanswered.add(context.now());
+    if (unanswered.size() == 1) {
+      armSilence();
+    }
+  }
+
+  /** Guards against a server that was cut off: its connection stays open and brings nothing. */
+  private void armSilence() {
+    Timers.cancel(timer);
+    if (!unanswered.isEmpty()) {
+      long waited = context.now() - unanswered.peek();
+      timer = context.timers().after(context.limits().silence() - waited, this::silent);
+    }
+  }
+
+  private void silent() {
+    if (state == State.UP) {
+      moveNow(Outcome.RESET);
+    }
+  }
+
+  void lineFromServer(Execution from, ServerLine line) {
+    if (line.kind() == ServerLine.Kind.LOAD) {
+      context.decisions().tell(new LoadChanged(id, from.number(), from.server(), line.number()));
+    } else if (!unanswered.isEmpty()) {
+      long now = context.now();
+      long took = now - unanswered.poll();
+      armSilence();
+      context.delays().measured(now, id, from.number(), from.server(), took);
+    }
+  }
+
+  /** Passes bytes of the server on to the client, for which there was room. */
+  void pass(ByteBuffer bytes) {
+    link.send(bytes);
+    if (moving && state == State.UP && execution.betweenLines()) {
+      moveNow(Outcome.CANCELLED);
+    }
+  }
+
+  void resume() {
+    link.resume();
+  }
+
+  @Override
+  public void flushed() {
+    if (execution != null && execution.link() != null) {
+      execution.link().resume();
+    }
+  }
+
+  // ---- Ends ----------------------------------------------------------------------------------
+
+  boolean wantsMove() {
+    return moving;
+  }
+
+  /** Sends the client away between two lines, or after a while without the end of one. */
+  void move() {
+    if (state != State.UP || moving) {
+      return;
+    }
+    moving = true;
+    if (execution.betweenLines()) {
+      moveNow(Outcome.CANCELLED);
+    } else {
+      Timers.cancel(timer);
+      timer = context.timers().after(context.limits().moveWithin(), () -> moveNow(Outcome.CANCELLED));
+    }
+  }
+
+  private void moveNow(Outcome outcome) {
+    if (state != State.UP) {
+      return;
+    }
+    leave();
+    if (execution.betweenLines() && link.free() >= MOVE.length()) {
+      link.send(MOVE);
+    }
+    link.finish();
+    execution.end(outcome, null);
+  }
+
+  /** The server has ended its sending: so does this side, once all is written. */
+  void serverEnded(Execution from, Outcome outcome) {
+    leave();
+    link.finish();
+    from.end(outcome, null);
+  }
+
+  void serverBroke(Execution from, Outcome outcome) {
+    leave();
+    link.reset();
+    from.end(outcome, null);
+  }
+
+  @Override
+  public void ended() {
+    if (state == State.UP) {
+      leave();
+      link.finish();
+      execution.finish();
+    } else if (state == State.WAITING) {
+      clientGone();
+    } else {
+      drop();
+    }
+  }
+
+  @Override
+  public void broken() {
+    switch (state) {
+      case UP -> {
+        leave();
+        execution.reset();
+      }
+      case WAITING -> clientGone();
+      default -> drop();
+    }
+  }
+
+  private void endBoth(Outcome outcome) {
+    leave();
+    link.reset();
+    execution.end(outcome, null);
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/proxy/Execution.java
@@ -0,0 +1,215 @@
+package lemondeal.proxy;
+
+import gingerusher.Balancer.LoadReport;
+import gingerusher.Balancer.Outcome;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import lemondeal.codec.LineParser;
+import lemondeal.codec.ProtocolException;
+import lemondeal.codec.ServerLine;
+import lemondeal.net.Dial;
+import lemondeal.net.Link;
+import lemondeal.net.Timers;
+
+/** One attempt of a request at one server, with its server link. Ends once and tells its client link. */
+final class Execution implements Link.Owner {
+  private static final long MILLI = 1000;
+
+  private final Context context;
+  private final ClientLink client;
+  private final String server;
+  private final int number;
+  private final long begun;
+  private final LineParser lines;
+  private long deadline;
+  private Dial dial;
+  private Link link;
+  private Timers.Timer timeout;
+  private boolean up;
+  private boolean over;
+  private ServerLine last = new ServerLine(ServerLine.Kind.OTHER, "");
+
+  Execution(Context context, ClientLink client, String server, int number) {
+    this.context = context;
+    this.client = client;
+    this.server = server;
+    this.number = number;
+    begun = context.now();
+    lines = new LineParser(context.limits().lineBytes());
+  }
+
+  String server() {
+    return server;
+  }
+
+  int number() {
+    return number;
+  }
+
+  long elapsed() {
+    return context.now() - begun;
+  }
+
+  /** Whether the bytes passed to the client end with a whole line. */
+  boolean betweenLines() {
+    return !lines.midLine();
+  }
+
+  /** Dials, and waits for {@code UP} until the time is up. */
+  void start(long patience) {
+    deadline = begun + patience;
+    InetSocketAddress address = context.group().address(server);
+    if (patience < 0 || address == null) {
+      Outcome outcome = patience < 0 ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION;
+      context.net().later(() -> end(outcome, null));
+      return;
+    }
+    timeout = context.timers().after(patience, () -> end(Outcome.TIMED_OUT, null));
+    dial = context.net().dial(address, context.limits().dial(), this::connected,
+        () -> end(Outcome.NO_CONNECTION, null));
+  }
+
+  private void connected(Link opened) {
+    link = opened;
+    link.start(this);
+    long left = Math.max(0, deadline - context.now());
+    link.send(client.firstLine(left / MILLI));
+  }
+
+  Link link() {
+    return link;
+  }
+
+  /** Ends the attempt from this side. */
+  void cancel() {
+    end(Outcome.CANCELLED, null);
+  }
+
+  /** The client has ended: what it sent still goes out, then this side ends alike. */
+  void finish() {
+    link.finish();
+    cancel();
+  }
+
+  /** The client was reset, and so is the server. */
+  void reset() {
+    link.reset();
+    cancel();
+  }
+
+  void end(Outcome outcome, LoadReport report) {
+    if (over) {
+      return;
+    }
+    over = true;
+    Timers.cancel(timeout);
+    if (dial != null) {
+      dial.cancel();
+    }
+    if (link != null && !link.isFinishing()) {
+      link.close();
+    }
+    client.executionEnded(this, outcome, report);
+  }
+
+  @Override
+  public int room() {
+    return up ? client.room() : context.limits().lineBytes();
+  }
+
+  @Override
+  public void received(ByteBuffer bytes) {
+    try {
+      if (!up) {
+        awaitUp(bytes);
+      }
+      if (up && !over && bytes.hasRemaining()) {
+        pass(bytes);
+      }
+    } catch (ProtocolException e) {
+      failed(Outcome.ERROR);
+    }
+  }
+
+  private void awaitUp(ByteBuffer bytes) throws ProtocolException {
+    String line = lines.next(bytes);
+    if (line == null) {
+      return;
+    }
+    ServerLine answer = ServerLine.parse(line);
+    switch (answer.kind()) {
+      case UP -> {
+        up = true;
+        Timers.cancel(timeout);
+        client.up(this, line);
+      }
+      case BUSY -> end(Outcome.REFUSED, report(answer));
+      case MOVE -> end(Outcome.CANCELLED, null);
+      case BYE -> client.servedAtOnce(this, line, report(answer));
+      default -> end(Outcome.ERROR, report(answer));
+    }
+  }
+
+  /** Looks at the lines on their way; the bytes themselves pass unchanged. */
+  private void pass(ByteBuffer bytes) throws ProtocolException {
+    int start = bytes.position();
+    while (bytes.hasRemaining()) {
+      String line = lines.next(bytes);
+      if (line != null) {
+        last = ServerLine.parse(line);
+        client.lineFromServer(this, last);
+        if (client.wantsMove()) {
+          // What follows belongs to a connection that ends here.
+          break;
+        }
+      }
+    }
+    ByteBuffer passed = bytes.duplicate().limit(bytes.position()).position(start);
+    bytes.position(bytes.limit());
+    client.pass(passed);
+  }
+
+  @Override
+  public void ended() {
+    if (!up) {
+      failed(brokenOutcome());
+    } else {
+      client.serverEnded(this, endOutcome());
+    }
+  }
+
+  @Override
+  public void broken() {
+    failed(up ? endOutcome() : brokenOutcome());
+  }
+
+  private void failed(Outcome outcome) {
+    if (up) {
+      client.serverBroke(this, outcome);
+    } else {
+      end(outcome, null);
+    }
+  }
+
+  /** Before the line's last byte was written the server can't have acted on it. */
+  private Outcome brokenOutcome() {
+    return link.isFlushed() ? Outcome.RESET : Outcome.NO_CONNECTION;
+  }
+
+  private Outcome endOutcome() {
+    return switch (last.kind()) {
+      case BYE -> Outcome.SERVED;
+      case MOVE -> Outcome.CANCELLED;
+      default -> Outcome.RESET;
+    };
+  }
+
+  @Override
+  public void flushed() {
+    client.resume();
+  }
+
+  private LoadReport report(ServerLine line) {
+    return line.rest().isEmpty() ? null : Reports.read(line.figures());
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/proxy/Gate.java
@@ -0,0 +1,37 @@
+package lemondeal.proxy;
+
+/** Lets requests in while there is a slot and the proxy is to run on, and keeps the table of those inside. */
+final class Gate {
+  private final Requests requests;
+  private boolean closing;
+  private Runnable emptied = () -> { };
+
+  Gate(Requests requests) {
+    this.requests = requests;
+  }
+
+  boolean admits() {
+    return !closing && !requests.isFull();
+  }
+
+  String enter(ClientLink client) {
+    return requests.add(client);
+  }
+
+  void leave(String id) {
+    requests.remove(id);
+    if (closing && requests.isEmpty()) {
+      emptied.run();
+    }
+  }
+
+  boolean isClosing() {
+    return closing;
+  }
+
+  /** Lets nobody in any more; {@code whenEmpty} is run each time that the last has left. */
+  void close(Runnable whenEmpty) {
+    closing = true;
+    emptied = whenEmpty;
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/proxy/Proxy.java
@@ -0,0 +1,169 @@
+package lemondeal.proxy;
+
+import gingerusher.Balancer;
+import gingerusher.Balancer.Action;
+import gingerusher.Balancer.CancelAttempt;
+import gingerusher.Balancer.CloseIdle;
+import gingerusher.Balancer.Fail;
+import gingerusher.Balancer.FetchList;
+import gingerusher.Balancer.Log;
+import gingerusher.Balancer.Move;
+import gingerusher.Balancer.Outcome;
+import gingerusher.Balancer.Probe;
+import gingerusher.Balancer.Refuse;
+import gingerusher.Balancer.Send;
+import gingerusher.Balancer.Start;
+import gingerusher.Balancer.Subscribe;
+import gingerusher.Balancer.Wake;
+import gingerusher.Balancer.WakeAfter;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import lemondeal.config.Config;
+import lemondeal.config.Limits;
+import lemondeal.discovery.Discovery;
+import lemondeal.discovery.HostGroup;
+import lemondeal.net.Link;
+import lemondeal.net.Net;
+import org.xnio.XnioIoThread;
+
+/** One real proxy: puts the parts together and carries out what the module decides. */
+public final class Proxy {
+  private final Config config;
+  private final Limits limits;
+  private final Net net;
+  private final TimerWheel wheel;
+  private final HostGroup group;
+  private final Decisions decisions;
+  private final Discovery discovery;
+  private final Context context;
+  private final Requests requests;
+  private final Gate gate;
+  private final PrintStream log;
+  private final Map<String, Prober> probers = new HashMap<>();
+  private final CountDownLatch stopped = new CountDownLatch(1);
+  private XnioIoThread.Key nextAdvance;
+
+  public Proxy(Config config, Balancer module, PrintStream log) throws IOException {
+    this.config = config;
+    this.log = log;
+    limits = config.limits();
+    Clock clock = new Clock();
+    net = new Net(limits);
+    wheel = new TimerWheel(clock::now, limits.tick(), limits.wheelSlots(), this::scheduleAdvance);
+    net.use(wheel);
+    group = new HostGroup(config.names());
+    decisions = new Decisions(module, clock::now, this::act);
+    discovery = new Discovery(net, wheel, limits, config.discovery(), group, decisions::tell);
+    DelayMeter delays = new DelayMeter(config.settings(), limits, decisions::tell);
+    context = new Context(config, net, wheel, group, decisions, delays);
+    requests = new Requests(limits.clients());
+    gate = new Gate(requests);
+  }
+
+  /** Starts on the I/O thread; returns when clients are accepted, or throws what went wrong. */
+  public void start() throws IOException {
+    net.run(() -> {
+      decisions.tell(new Start(config.seed(), config.settings()));
+      decisions.tell(group.saved(config.known()));
+      net.listen(config.listen(), this::accepted);
+      return null;
+    });
+  }
+
+  public InetSocketAddress localAddress() {
+    return net.localAddress();
+  }
+
+  private void accepted(Link link) {
+    new ClientLink(context, gate, link).start();
+  }
+
+  // ---- Stop ----------------------------------------------------------------------------------
+
+  /**
+   * Stops politely: throttles what still comes, moves all connections when nothing comes any more, and lets
+   * requests that are still owed an answer get theirs. Returns when all is done or the time is up.
+   */
+  public void stop() throws InterruptedException {
+    net.later(() -> {
+      gate.close(() -> { });
+      wheel.after(limits.drainAccept(), this::moveAll);
+      wheel.after(limits.drainMost(), stopped::countDown);
+    });
+    stopped.await();
+  }
+
+  private void moveAll() {
+    net.stopListening();
+    // What was written last must still arrive before the process ends.
+    gate.close(() -> wheel.after(limits.linger(), stopped::countDown));
+    for (ClientLink client : requests.all()) {
+      client.move();
+    }
+    if (requests.isEmpty()) {
+      stopped.countDown();
+    }
+  }
+
+  // ---- Time ----------------------------------------------------------------------------------
+
+  private void scheduleAdvance() {
+    if (nextAdvance != null) {
+      nextAdvance.remove();
+    }
+    long pause = wheel.untilNext();
+    nextAdvance = pause == Long.MAX_VALUE ? null : net.laterBy(pause, this::advance);
+  }
+
+  private void advance() {
+    nextAdvance = null;
+    wheel.advance();
+    scheduleAdvance();
+  }
+
+  // ---- Actions -------------------------------------------------------------------------------
+
+  /** A chain of tests rather than a switch: pattern switches are only a preview in Java 17. */
+  private void act(Action action) {
+    if (action instanceof Send a) {
+      with(a.id(), client -> client.execute(a.server(), a.timeout()));
+    } else if (action instanceof WakeAfter a) {
+      wheel.after(a.delay(), () -> decisions.tell(new Wake(a.token())));
+    } else if (action instanceof Move a) {
+      with(a.id(), ClientLink::move);
+    } else if (action instanceof Refuse a) {
+      with(a.id(), client -> client.throttle(a.retryAfter()));
+    } else if (action instanceof Fail a) {
+      with(a.id(), ClientLink::fail);
+    } else if (action instanceof CancelAttempt a) {
+      with(a.id(), client -> client.cancel(a.attempt()));
+    } else if (action instanceof Probe a) {
+      probe(a.server());
+    } else if (action instanceof CloseIdle a && probers.get(a.server()) != null) {
+      probers.get(a.server()).end(Outcome.CANCELLED);
+    } else if (action instanceof Subscribe a) {
+      discovery.watch(a.on());
+    } else if (action instanceof FetchList) {
+      discovery.fetch();
+    } else if (action instanceof Log a) {
+      log.println(config.name() + " " + a.text());
+    }
+  }
+
+  /** The module may name a request that has gone in the meantime; its slot may have a new holder. */
+  private void with(String id, Consumer<ClientLink> act) {
+    ClientLink client = requests.find(id);
+    if (client != null) {
+      act.accept(client);
+    }
+  }
+
+  private void probe(String server) {
+    probers.computeIfAbsent(server, s -> new Prober(context, s, () -> probers.remove(s))).probe();
+  }
+}
--- /dev/null
+++ b/src/main/java/lemondeal/proxy/Reports.java
@@ -0,0 +1,20 @@
+package lemondeal.proxy;
+
+import gingerusher.Balancer.LoadReport;
+import java.util.Map;
+
+/** Turns the names of a load report, as servers or as the settings write them, into the module's figures. */
+final class Reports {
+  private Reports() {}
+
+  static LoadReport read(Map<String, Double> figures) {
+    return new LoadReport(figure(figures, "x0", "x0"), figure(figures, "x1", "x1"),
+        figure(figures, "inflight", "busy_reqs"), figure(figures, "queue", "pending"),
+        figure(figures, "util", "cpu_share"));
+  }
+
+  private static double figure(Map<String, Double> figures, String onSockets, String inSettings) {
+    Double figure = figures.get(onSockets);
+    return figure != null ? figure : figures.getOrDefault(inSettings, Double.NaN);
+  }
+}
