--- a/src/main/java/gingerusher/Balancer.java
+++ b/src/main/java/lemondeal/Balancer.java
@@ -1,4 +1,4 @@
-package gingerusher;
+package lemondeal;
 
 import java.util.List;
 
--- a/src/main/java/gingerusher/Logic.java
+++ b/src/main/java/lemondeal/Logic.java
@@ -1,8 +1,8 @@
-package gingerusher;
+package lemondeal;
 
 // The interface of this module (settings, events, actions) is the file Balancer.java beside this one.
 
-import gingerusher.Balancer.*;
+import lemondeal.Balancer.*;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/lemondeal/Main.java
+++ b/src/main/java/lemondeal/Main.java
@@ -1,6 +1,6 @@
 package lemondeal;
 
-import gingerusher.Logic;
+import lemondeal.Logic;
 import java.io.IOException;
 import lemondeal.config.Config;
 import lemondeal.config.ConfigException;
@@ -16,7 +16,7 @@
     String word = args.length == 1 ? args[0] : "";
     switch (word) {
       case "serve" -> serve();
-      case "benchlink" -> gingerusher.benchlink.Main.main(args);
+      case "benchlink" -> lemondeal.benchlink.Main.main(args);
       default -> {
         System.err.println("usage: java -jar lemondeal.jar serve | benchlink");
         System.exit(BAD_USE);
--- a/src/main/java/gingerusher/benchlink/Fields.java
+++ b/src/main/java/lemondeal/benchlink/Fields.java
@@ -1,4 +1,4 @@
-package gingerusher.benchlink;
+package lemondeal.benchlink;
 
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
--- a/src/main/java/gingerusher/benchlink/Main.java
+++ b/src/main/java/lemondeal/benchlink/Main.java
@@ -1,9 +1,9 @@
-package gingerusher.benchlink;
+package lemondeal.benchlink;
 
-import gingerusher.Balancer;
-import gingerusher.Balancer.Action;
-import gingerusher.Balancer.Start;
-import gingerusher.Logic;
+import lemondeal.Balancer;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Start;
+import lemondeal.Logic;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -24,10 +24,10 @@
     this.maker = maker;
   }
 
-  /** Run as {@code java -jar gingerusher.jar benchlink}. */
+  /** Run as {@code java -jar lemondeal.jar benchlink}. */
   public static void main(String[] args) throws IOException {
     if (args.length != 1 || !args[0].equals("benchlink")) {
-      System.err.println("usage: java -jar gingerusher.jar benchlink");
+      System.err.println("usage: java -jar lemondeal.jar benchlink");
       System.exit(2);
     }
     System.exit(new Main(Logic::new).run(System.in, System.out, System.err));
@@ -43,7 +43,7 @@
         output.write(reply(WireReader.read(line)));
         output.flush();
       } catch (WireException e) {
-        errors.println("gingerusher: line " + number + ": " + e.getMessage());
+        errors.println("lemondeal: line " + number + ": " + e.getMessage());
         return 1;
       }
     }
--- a/src/main/java/gingerusher/benchlink/WireException.java
+++ b/src/main/java/lemondeal/benchlink/WireException.java
@@ -1,4 +1,4 @@
-package gingerusher.benchlink;
+package lemondeal.benchlink;
 
 /** The input does not follow the wire; the message says what is wrong and where. */
 final class WireException extends RuntimeException {
--- a/src/main/java/gingerusher/benchlink/WireWriter.java
+++ b/src/main/java/lemondeal/benchlink/WireWriter.java
@@ -1,20 +1,20 @@
-package gingerusher.benchlink;
+package lemondeal.benchlink;
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
-import gingerusher.Balancer.Action;
-import gingerusher.Balancer.CancelAttempt;
-import gingerusher.Balancer.CloseIdle;
-import gingerusher.Balancer.Fail;
-import gingerusher.Balancer.FetchList;
-import gingerusher.Balancer.Log;
-import gingerusher.Balancer.Move;
-import gingerusher.Balancer.Probe;
-import gingerusher.Balancer.Refuse;
-import gingerusher.Balancer.Send;
-import gingerusher.Balancer.Subscribe;
-import gingerusher.Balancer.TellPeer;
-import gingerusher.Balancer.WakeAfter;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.CancelAttempt;
+import lemondeal.Balancer.CloseIdle;
+import lemondeal.Balancer.Fail;
+import lemondeal.Balancer.FetchList;
+import lemondeal.Balancer.Log;
+import lemondeal.Balancer.Move;
+import lemondeal.Balancer.Probe;
+import lemondeal.Balancer.Refuse;
+import lemondeal.Balancer.Send;
+import lemondeal.Balancer.Subscribe;
+import lemondeal.Balancer.TellPeer;
+import lemondeal.Balancer.WakeAfter;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 
--- a/src/main/java/lemondeal/config/Config.java
+++ b/src/main/java/lemondeal/config/Config.java
@@ -1,6 +1,6 @@
 package lemondeal.config;
 
-import gingerusher.Balancer.Settings;
+import lemondeal.Balancer.Settings;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
--- a/src/main/java/lemondeal/config/SettingsReader.java
+++ b/src/main/java/lemondeal/config/SettingsReader.java
@@ -1,14 +1,14 @@
 package lemondeal.config;
 
-import gingerusher.Balancer.Effect;
-import gingerusher.Balancer.Limits;
-import gingerusher.Balancer.Prices;
-import gingerusher.Balancer.RepeatScope;
-import gingerusher.Balancer.RequestClass;
-import gingerusher.Balancer.Rules;
-import gingerusher.Balancer.Settings;
-import gingerusher.Balancer.Tenant;
-import gingerusher.Balancer.WeightMeaning;
+import lemondeal.Balancer.Effect;
+import lemondeal.Balancer.Limits;
+import lemondeal.Balancer.Prices;
+import lemondeal.Balancer.RepeatScope;
+import lemondeal.Balancer.RequestClass;
+import lemondeal.Balancer.Rules;
+import lemondeal.Balancer.Settings;
+import lemondeal.Balancer.Tenant;
+import lemondeal.Balancer.WeightMeaning;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/lemondeal/discovery/Discovery.java
+++ b/src/main/java/lemondeal/discovery/Discovery.java
@@ -1,7 +1,7 @@
 package lemondeal.discovery;
 
-import gingerusher.Balancer.ListKind;
-import gingerusher.Balancer.ServerList;
+import lemondeal.Balancer.ListKind;
+import lemondeal.Balancer.ServerList;
 import java.net.InetSocketAddress;
 import java.util.List;
 import java.util.Map;
--- a/src/main/java/lemondeal/discovery/HostGroup.java
+++ b/src/main/java/lemondeal/discovery/HostGroup.java
@@ -1,9 +1,9 @@
 package lemondeal.discovery;
 
-import gingerusher.Balancer.ListKind;
-import gingerusher.Balancer.ServerEntry;
-import gingerusher.Balancer.ServerList;
-import gingerusher.Balancer.ServerState;
+import lemondeal.Balancer.ListKind;
+import lemondeal.Balancer.ServerEntry;
+import lemondeal.Balancer.ServerList;
+import lemondeal.Balancer.ServerState;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
--- a/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/src/main/java/lemondeal/proxy/ClientLink.java
@@ -1,14 +1,14 @@
 package lemondeal.proxy;
 
-import gingerusher.Balancer.Adopted;
-import gingerusher.Balancer.Arrived;
-import gingerusher.Balancer.ClientGone;
-import gingerusher.Balancer.Ended;
-import gingerusher.Balancer.Established;
-import gingerusher.Balancer.LoadChanged;
-import gingerusher.Balancer.LoadReport;
-import gingerusher.Balancer.Outcome;
-import gingerusher.Balancer.Request;
+import lemondeal.Balancer.Adopted;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.ClientGone;
+import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.Established;
+import lemondeal.Balancer.LoadChanged;
+import lemondeal.Balancer.LoadReport;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.Request;
 import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
--- a/src/main/java/lemondeal/proxy/Decisions.java
+++ b/src/main/java/lemondeal/proxy/Decisions.java
@@ -1,8 +1,8 @@
 package lemondeal.proxy;
 
-import gingerusher.Balancer;
-import gingerusher.Balancer.Action;
-import gingerusher.Balancer.Event;
+import lemondeal.Balancer;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Event;
 import java.util.ArrayDeque;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
--- a/src/main/java/lemondeal/proxy/DelayMeter.java
+++ b/src/main/java/lemondeal/proxy/DelayMeter.java
@@ -1,8 +1,8 @@
 package lemondeal.proxy;
 
-import gingerusher.Balancer.MessageDelay;
-import gingerusher.Balancer.RequestClass;
-import gingerusher.Balancer.Settings;
+import lemondeal.Balancer.MessageDelay;
+import lemondeal.Balancer.RequestClass;
+import lemondeal.Balancer.Settings;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.function.Consumer;
--- a/src/main/java/lemondeal/proxy/Execution.java
+++ b/src/main/java/lemondeal/proxy/Execution.java
@@ -1,7 +1,7 @@
 package lemondeal.proxy;
 
-import gingerusher.Balancer.LoadReport;
-import gingerusher.Balancer.Outcome;
+import lemondeal.Balancer.LoadReport;
+import lemondeal.Balancer.Outcome;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import lemondeal.codec.LineParser;
--- a/src/main/java/lemondeal/proxy/Prober.java
+++ b/src/main/java/lemondeal/proxy/Prober.java
@@ -1,8 +1,8 @@
 package lemondeal.proxy;
 
-import gingerusher.Balancer.LoadReport;
-import gingerusher.Balancer.Outcome;
-import gingerusher.Balancer.ProbeResult;
+import lemondeal.Balancer.LoadReport;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.ProbeResult;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
--- a/src/main/java/lemondeal/proxy/Reports.java
+++ b/src/main/java/lemondeal/proxy/Reports.java
@@ -1,6 +1,6 @@
 package lemondeal.proxy;
 
-import gingerusher.Balancer.LoadReport;
+import lemondeal.Balancer.LoadReport;
 import java.util.Map;
 
 /** Turns the names of a load report, as servers or as the settings write them, into the module's figures. */
--- a/src/test/java/gingerusher/DeparturesTest.java
+++ b/src/test/java/lemondeal/DeparturesTest.java
@@ -1,4 +1,4 @@
-package gingerusher;
+package lemondeal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
@@ -6,18 +6,18 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gingerusher.Balancer.Action;
-import gingerusher.Balancer.Arrived;
-import gingerusher.Balancer.Ended;
-import gingerusher.Balancer.LoadReport;
-import gingerusher.Balancer.Move;
-import gingerusher.Balancer.Outcome;
-import gingerusher.Balancer.Probe;
-import gingerusher.Balancer.ProbeResult;
-import gingerusher.Balancer.Refuse;
-import gingerusher.Balancer.Send;
-import gingerusher.Balancer.ServerList;
-import gingerusher.Balancer.Subscribe;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.LoadReport;
+import lemondeal.Balancer.Move;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.Probe;
+import lemondeal.Balancer.ProbeResult;
+import lemondeal.Balancer.Refuse;
+import lemondeal.Balancer.Send;
+import lemondeal.Balancer.ServerList;
+import lemondeal.Balancer.Subscribe;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
--- a/src/test/java/gingerusher/EmbeddingTest.java
+++ b/src/test/java/lemondeal/EmbeddingTest.java
@@ -1,19 +1,19 @@
-package gingerusher;
+package lemondeal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gingerusher.Balancer.Action;
-import gingerusher.Balancer.Arrived;
-import gingerusher.Balancer.ListKind;
-import gingerusher.Balancer.Request;
-import gingerusher.Balancer.Send;
-import gingerusher.Balancer.ServerEntry;
-import gingerusher.Balancer.ServerList;
-import gingerusher.Balancer.ServerState;
-import gingerusher.Balancer.Settings;
-import gingerusher.Balancer.Start;
-import gingerusher.Balancer.WakeAfter;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.ListKind;
+import lemondeal.Balancer.Request;
+import lemondeal.Balancer.Send;
+import lemondeal.Balancer.ServerEntry;
+import lemondeal.Balancer.ServerList;
+import lemondeal.Balancer.ServerState;
+import lemondeal.Balancer.Settings;
+import lemondeal.Balancer.Start;
+import lemondeal.Balancer.WakeAfter;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -49,7 +49,7 @@
 
   @Test
   void readmeShowsThisExample() throws IOException {
-    String source = Files.readString(Path.of("src/test/java/gingerusher/EmbeddingTest.java"));
+    String source = Files.readString(Path.of("src/test/java/lemondeal/EmbeddingTest.java"));
     int from = source.indexOf("\n", source.indexOf("// README example starts")) + 1;
     String example = source.substring(from, source.indexOf("    // README example ends"));
     assertTrue(Files.readString(Path.of("README.md")).contains(example));
--- a/src/test/java/gingerusher/ModuleLimitsTest.java
+++ b/src/test/java/lemondeal/ModuleLimitsTest.java
@@ -1,4 +1,4 @@
-package gingerusher;
+package lemondeal;
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -13,7 +13,7 @@
 
   @Test
   void logicKeepsItsLineLimitsAndNamesItsInterface() throws IOException {
-    List<String> lines = Files.readAllLines(Path.of("src/main/java/gingerusher/Logic.java"));
+    List<String> lines = Files.readAllLines(Path.of("src/main/java/lemondeal/Logic.java"));
     long full = lines.stream().filter(line -> !line.isBlank()).count();
     assertTrue(full >= 300 && full <= 1_200, full + " lines");
     assertTrue(lines.stream().allMatch(line -> line.length() <= 110));
--- a/src/test/java/gingerusher/RankingTest.java
+++ b/src/test/java/lemondeal/RankingTest.java
@@ -1,13 +1,13 @@
-package gingerusher;
+package lemondeal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import gingerusher.Balancer.Outcome;
-import gingerusher.Balancer.ServerEntry;
-import gingerusher.Balancer.ServerState;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.ServerEntry;
+import lemondeal.Balancer.ServerState;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
