--- a/src/main/java/lemondeal/Main.java
+++ b/src/main/java/lemondeal/Main.java
@@ -1,6 +1,5 @@
 package lemondeal;
 
-import lemondeal.Logic;
 import java.io.IOException;
 import lemondeal.config.Config;
 import lemondeal.config.ConfigException;
