Tell LOAD lines as delay notes where the settings tell delays and no loads

Checked: a probe build printed every server line and every delay measured from a client's line to the answering one. All 815 measured delays lay under 6 ms, also at the slow server: the answers come at once (PROTOCOL, "a sound connection brings a line back at once"), so that nothing of a slow server shows there. At fault: ClientLink.lineFromServer told every LOAD as LoadChanged. Now the settings say which it is. Delays are still measured as well, as another server may answer lines late.

Two failures found by the new socket tests, and mended: - Execution.pass told a line before it was passed on: a move decided on it swallowed it. - ClientLink.executionEnded asked for the state after it had been left: the end of an adopted connection was never told, so the module believed it open for good.

--- a/src/main/java/lemondeal/config/Config.java
+++ b/src/main/java/lemondeal/config/Config.java
@@ -15,9 +15,12 @@
  * What a proxy is told at its start, by the environment and the file that it names.
  *
  * @param known the list of servers in discovery's form, as this proxy last had it
+ * @param loadIsDelay whether a server's LOAD line carries the milliseconds that a message takes there, not
+ *     the connection's load: so where the settings say that servers tell delays and no loads
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-    Map<String, Object> known, Settings settings, Names names, Limits limits) {
+    Map<String, Object> known, Settings settings, Names names, boolean loadIsDelay,
+    Limits limits) {
 
   /** Names that stand on sockets where the module has indices. */
   public record Names(List<String> classes, List<String> zones, List<String> models) {}
@@ -37,12 +40,14 @@
     Part settings = root.part("settings");
     Part permissions = settings.part("permissions");
     Part limits = root.part("limits");
+    Part family = settings.part("familyInfo");
     return new Config(
         environment.getOrDefault("GW_NAME", root.text("name", "proxy")),
         address("listen", environment.getOrDefault("GW_LISTEN", root.text("listen", ""))),
         address("discovery", environment.getOrDefault("GW_DISCOVERY", root.text("discovery", ""))),
         seed(root.text("seed", "0")), root.part("known").values(), SettingsReader.read(settings.values()),
         new Names(names(settings.parts("profiles")), texts(settings.list("azs")), texts(settings.list("flavors"))),
+        family.flag("tellsDelay") && !family.flag("tellsLoad"),
         Limits.of((int) limits.whole("sockets", DEFAULT_SOCKETS), (int) limits.whole("memory_mb", DEFAULT_MEMORY_MB),
             permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE)));
   }
--- a/src/main/java/lemondeal/net/Net.java
+++ b/src/main/java/lemondeal/net/Net.java
@@ -119,9 +119,10 @@
     return dial;
   }
 
-  /** Ends the threads; all links should be closed by then. */
+  /** Stops listening and ends the threads, with whatever is still open. */
   public void shutdown() {
-    worker.shutdown();
+    stopListening();
+    worker.shutdownNow();
   }
 
   IoFuture<StreamConnection> open(InetSocketAddress address) {
--- a/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/src/main/java/lemondeal/proxy/ClientLink.java
@@ -7,6 +7,7 @@
 import lemondeal.Balancer.Established;
 import lemondeal.Balancer.LoadChanged;
 import lemondeal.Balancer.LoadReport;
+import lemondeal.Balancer.MessageDelay;
 import lemondeal.Balancer.Outcome;
 import lemondeal.Balancer.Request;
 import java.io.ByteArrayOutputStream;
@@ -46,7 +47,10 @@
   private int attempts;
   private Execution execution;
   private Timers.Timer timer;
+  private Timers.Timer silence;
   private boolean moving;
+  private boolean clientEnded;
+  private boolean serverEnded;
 
   ClientLink(Context context, Gate gate, Link link) {
     this.context = context;
@@ -187,8 +191,7 @@
 
   void executionEnded(Execution ended, Outcome outcome, LoadReport report) {
     execution = null;
-    boolean wasUp = state == State.UP;
-    if (isAdoption() && !wasUp) {
+    if (isAdoption() && !ended.isUp()) {
       if (state == State.WAITING) {
         timer = context.timers().after(context.limits().adoptPause(), () -> adopt(due));
       }
@@ -274,6 +277,7 @@
   private void leave() {
     state = State.OVER;
     Timers.cancel(timer);
+    Timers.cancel(silence);
     if (id != null) {
       gate.leave(id);
     }
@@ -300,10 +304,10 @@
 
   /** Guards against a server that was cut off: its connection stays open and brings nothing. */
   private void armSilence() {
-    Timers.cancel(timer);
+    Timers.cancel(silence);
     if (!unanswered.isEmpty()) {
       long waited = context.now() - unanswered.peek();
-      timer = context.timers().after(context.limits().silence() - waited, this::silent);
+      silence = context.timers().after(context.limits().silence() - waited, this::silent);
     }
   }
 
@@ -315,21 +319,35 @@
 
   void lineFromServer(Execution from, ServerLine line) {
     if (line.kind() == ServerLine.Kind.LOAD) {
-      context.decisions().tell(new LoadChanged(id, from.number(), from.server(), line.number()));
+      note(from, line.number());
     } else if (!unanswered.isEmpty()) {
       long now = context.now();
       long took = now - unanswered.poll();
       armSilence();
       context.delays().measured(now, id, from.number(), from.server(), took);
     }
+    if (moving) {
+      moveNow(Outcome.CANCELLED);
+    }
+  }
+
+  /**
+   * Guards against a server's delay being taken for a connection's load: both come as LOAD, and the settings
+   * say which of the two servers tell. The answer to a client's line comes at once even from a slow server,
+   * so that this is where its delay shows.
+   */
+  private void note(Execution from, double figure) {
+    if (!(figure >= 0)) {
+      return;
+    }
+    context.decisions().tell(context.config().loadIsDelay()
+        ? new MessageDelay(id, from.number(), from.server(), figure)
+        : new LoadChanged(id, from.number(), from.server(), figure));
   }
 
   /** Passes bytes of the server on to the client, for which there was room. */
   void pass(ByteBuffer bytes) {
     link.send(bytes);
-    if (moving && state == State.UP && execution.betweenLines()) {
-      moveNow(Outcome.CANCELLED);
-    }
   }
 
   void resume() {
@@ -345,10 +363,6 @@
 
   // ---- Ends ----------------------------------------------------------------------------------
 
-  boolean wantsMove() {
-    return moving;
-  }
-
   /** Sends the client away between two lines, or after a while without the end of one. */
   void move() {
     if (state != State.UP || moving) {
@@ -375,11 +389,28 @@
     execution.end(outcome, null);
   }
 
-  /** The server has ended its sending: so does this side, once all is written. */
-  void serverEnded(Execution from, Outcome outcome) {
-    leave();
-    link.finish();
-    from.end(outcome, null);
+  /** The server has ended its sending, and so does this side: the other direction has a moment more. */
+  void serverEnded() {
+    serverEnded = true;
+    link.endSending();
+    oneEnded(!clientEnded);
+  }
+
+  private void oneEnded(boolean serverFirst) {
+    if (clientEnded && serverEnded) {
+      finishBoth(serverFirst);
+    } else {
+      Timers.cancel(timer);
+      timer = context.timers().after(context.limits().linger(), () -> finishBoth(serverFirst));
+    }
+  }
+
+  private void finishBoth(boolean serverFirst) {
+    if (state == State.UP) {
+      leave();
+      link.finish();
+      execution.finish(serverFirst);
+    }
   }
 
   void serverBroke(Execution from, Outcome outcome) {
@@ -391,9 +422,9 @@
   @Override
   public void ended() {
     if (state == State.UP) {
-      leave();
-      link.finish();
-      execution.finish();
+      clientEnded = true;
+      execution.link().endSending();
+      oneEnded(serverEnded);
     } else if (state == State.WAITING) {
       clientGone();
     } else {
--- a/src/main/java/lemondeal/proxy/Execution.java
+++ b/src/main/java/lemondeal/proxy/Execution.java
@@ -76,6 +76,10 @@
     link.send(client.firstLine(left / MILLI));
   }
 
+  boolean isUp() {
+    return up;
+  }
+
   Link link() {
     return link;
   }
@@ -85,10 +89,10 @@
     end(Outcome.CANCELLED, null);
   }
 
-  /** The client has ended: what it sent still goes out, then this side ends alike. */
-  void finish() {
+  /** Both sides have ended, or one has and the other had its time: what was sent still goes out. */
+  void finish(boolean serverFirst) {
     link.finish();
-    cancel();
+    end(serverFirst ? endOutcome() : Outcome.CANCELLED, null);
   }
 
   /** The client was reset, and so is the server. */
@@ -150,23 +154,21 @@
     }
   }
 
-  /** Looks at the lines on their way; the bytes themselves pass unchanged. */
+  /**
+   * Passes the bytes on unchanged and tells of their lines. A line goes out before it is told: what the
+   * module decides on it may be a move, which must not overtake or swallow the line.
+   */
   private void pass(ByteBuffer bytes) throws ProtocolException {
-    int start = bytes.position();
-    while (bytes.hasRemaining()) {
+    while (bytes.hasRemaining() && !over) {
+      int start = bytes.position();
       String line = lines.next(bytes);
+      client.pass(bytes.duplicate().limit(bytes.position()).position(start));
       if (line != null) {
         last = ServerLine.parse(line);
         client.lineFromServer(this, last);
-        if (client.wantsMove()) {
-          // What follows belongs to a connection that ends here.
-          break;
-        }
       }
     }
-    ByteBuffer passed = bytes.duplicate().limit(bytes.position()).position(start);
     bytes.position(bytes.limit());
-    client.pass(passed);
   }
 
   @Override
@@ -174,7 +176,7 @@
     if (!up) {
       failed(brokenOutcome());
     } else {
-      client.serverEnded(this, endOutcome());
+      client.serverEnded();
     }
   }
 
--- a/src/main/java/lemondeal/proxy/Proxy.java
+++ b/src/main/java/lemondeal/proxy/Proxy.java
@@ -32,7 +32,7 @@
 import org.xnio.XnioIoThread;
 
 /** One real proxy: puts the parts together and carries out what the module decides. */
-public final class Proxy {
+public final class Proxy implements AutoCloseable {
   private final Config config;
   private final Limits limits;
   private final Net net;
@@ -98,6 +98,12 @@
     stopped.await();
   }
 
+  /** Ends the I/O thread at once. */
+  @Override
+  public void close() {
+    net.shutdown();
+  }
+
   private void moveAll() {
     net.stopListening();
     // What was written last must still arrive before the process ends.
--- /dev/null
+++ b/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -0,0 +1,275 @@
+package lemondeal.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Adopted;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.CancelAttempt;
+import lemondeal.Balancer.ClientGone;
+import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.Established;
+import lemondeal.Balancer.Event;
+import lemondeal.Balancer.ListKind;
+import lemondeal.Balancer.LoadChanged;
+import lemondeal.Balancer.MessageDelay;
+import lemondeal.Balancer.Move;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.Probe;
+import lemondeal.Balancer.ProbeResult;
+import lemondeal.Balancer.Refuse;
+import lemondeal.Balancer.Send;
+import lemondeal.Balancer.ServerList;
+import lemondeal.Balancer.Start;
+import lemondeal.Balancer.Subscribe;
+import lemondeal.proxy.Site.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The proxy on real sockets, with a module that sends each request once and throttles what then fails. */
+@Timeout(30)
+class ProxyTest {
+  private static final String OPEN = "c=chat,d=2000,g=5c0f6e1a2b3d4c59";
+
+  private static List<Action> sendOnce(Event event) {
+    if (event instanceof Arrived e) {
+      return List.of(new Send(e.request().id(), Site.SERVER, 0));
+    }
+    if (event instanceof Ended e && !e.over()) {
+      return List.of(new Refuse(e.id(), 250_000));
+    }
+    if (event instanceof ClientGone e) {
+      return List.of(new CancelAttempt(e.id(), 0));
+    }
+    return List.of();
+  }
+
+  /** As {@link #sendOnce}, and with one more answer to one kind of event. */
+  private static <T extends Event> Function<Event, List<Action>> and(Class<T> kind, Function<T, Action> answer) {
+    return event -> {
+      List<Action> actions = new ArrayList<>(sendOnce(event));
+      if (kind.isInstance(event)) {
+        actions.add(answer.apply(kind.cast(event)));
+      }
+      return actions;
+    };
+  }
+
+  /** A client that the server has answered UP; its first line has been read. */
+  private static Peer up(Site site, Peer client) throws IOException {
+    Peer server = site.atServer();
+    assertTrue(server.line().startsWith("OPEN "));
+    server.send("UP r1\r\n");
+    assertEquals("UP r1", client.line());
+    return server;
+  }
+
+  @Test
+  void answersPing() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      assertEquals("PONG", site.client().send("PING\r\n").line());
+    }
+  }
+
+  @Test
+  void rewritesOnlyTheDeadlineAndPassesAllElse() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = site.atServer();
+      String line = server.line();
+      long told = Long.parseLong(line.replaceAll(".*,d=(\\d+),.*", "$1"));
+      assertEquals("OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 " + OPEN.replace("2000", "" + told), line);
+      assertTrue(told > 0 && told < 2000, line);
+      server.send("UP r1\r\nM 1\r\nM");
+      assertEquals("UP r1", client.line());
+      assertEquals("M 1", client.line());
+      client.send("hello\r\n");
+      assertEquals("hello", server.line());
+      server.send(" 2\r\nBYE\r\n").close();
+      assertEquals("M 2", client.line());
+      assertEquals("BYE", client.line());
+      assertNull(client.line());
+      assertEquals(Outcome.SERVED, site.await(Ended.class).outcome());
+    }
+  }
+
+  @Test
+  void anEndOfTheClientEndsTheServerSide() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      client.send("last\r\n").close();
+      assertEquals("last", server.line());
+      assertNull(server.line());
+      assertEquals(Outcome.CANCELLED, site.await(Ended.class).outcome());
+    }
+  }
+
+  /** A server's delay once went unheard: it was measured from the answers to lines, which come at once. */
+  @Test
+  void loadLinesAreDelaysWhereTheSettingsTellDelaysOnly() throws Exception {
+    String delays = "\"tellsDelay\":true,\"tellsLoad\":false,";
+    try (Site site = new Site(ProxyTest::sendOnce, delays)) {
+      Peer client = site.client(OPEN);
+      up(site, client).send("LOAD 343.125\r\n");
+      assertEquals("LOAD 343.125", client.line());
+      assertEquals(343.125, site.await(MessageDelay.class).millis());
+    }
+    try (Site site = new Site(ProxyTest::sendOnce, "\"tellsDelay\":true,\"tellsLoad\":true,")) {
+      up(site, site.client(OPEN)).send("LOAD 900\r\n");
+      assertEquals(900, site.await(LoadChanged.class).load());
+    }
+  }
+
+  @Test
+  void outcomesTellWhetherTheAttemptRan() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      for (String answer : List.of("BUSY", "ERR", "")) {
+        Peer client = site.client(OPEN);
+        Peer server = site.atServer();
+        server.line();
+        server.send(answer.isEmpty() ? "" : answer + "\r\n").close();
+        assertEquals("BUSY 250", client.line());
+        assertEquals(answer.equals("BUSY") ? Outcome.REFUSED : answer.equals("ERR") ? Outcome.ERROR : Outcome.RESET,
+            site.await(Ended.class).outcome());
+      }
+      site.stopServer();
+      assertEquals("BUSY 250", site.client(OPEN).line());
+      assertEquals(Outcome.NO_CONNECTION, site.await(Ended.class).outcome());
+    }
+  }
+
+  @Test
+  void aSilentServerTimesOutBeforeTheClientLeaves() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client("c=chat,d=200");
+      long from = System.nanoTime();
+      assertEquals("BUSY 250", client.line());
+      assertTrue(System.nanoTime() - from < 200_000_000L, "answered too late");
+      assertEquals(Outcome.TIMED_OUT, site.await(Ended.class).outcome());
+    }
+  }
+
+  @Test
+  void aClientThatLeavesBeforeUpEndsItsExecution() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = site.atServer();
+      server.line();
+      client.close();
+      assertNull(server.line());
+      site.await(ClientGone.class);
+      Ended ended = site.await(Ended.class);
+      assertTrue(ended.over());
+      assertEquals(Outcome.CANCELLED, ended.outcome());
+    }
+  }
+
+  @Test
+  void movesBetweenTwoWholeLines() throws Exception {
+    try (Site site = new Site(and(LoadChanged.class, e -> new Move(e.id())))) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      server.send("LOAD 1\r\nhalf a");
+      assertEquals("LOAD 1", client.line());
+      assertEquals("MOVE", client.line());
+      assertNull(client.line());
+      server.awaitEnd();
+      assertEquals(Outcome.CANCELLED, site.await(Ended.class).outcome());
+    }
+  }
+
+  @Test
+  void adoptsWithoutADecision() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN + ",at=" + Site.SERVER);
+      Peer server = up(site, client);
+      assertEquals(Site.SERVER, site.await(Adopted.class).server());
+      server.send("BYE\r\n").close();
+      assertEquals("BYE", client.line());
+      assertEquals(Outcome.SERVED, site.await(Ended.class).outcome());
+      assertFalse(site.events.stream().anyMatch(Established.class::isInstance));
+    }
+  }
+
+  @Test
+  void badInputEndsItsOwnConnectionOnly() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer good = site.client(OPEN);
+      Peer server = up(site, good);
+      for (String bad : List.of("GET / HTTP/1.1\r\n", "OPEN a b c=none,d=1\r\n", "OPEN a b c=chat,d=x\r\n",
+          "x".repeat(5000), "\0\n")) {
+        assertEquals("ERR", site.client().send(bad).line());
+      }
+      server.send("still here\r\n");
+      assertEquals("still here", good.line());
+    }
+  }
+
+  @Test
+  void probesAndReadsTheReport() throws Exception {
+    try (Site site = new Site(and(Arrived.class, e -> new Probe(Site.SERVER)))) {
+      site.client(OPEN);
+      for (Peer peer : List.of(site.atServer(), site.atServer())) {
+        if (peer.line().equals("STATS")) {
+          peer.send("PONG qps=4.5,inflight=7,x0=0.61\r\n");
+        }
+      }
+      ProbeResult result = site.await(ProbeResult.class);
+      assertEquals(0.61, result.report().demand());
+      assertEquals(7, result.report().held());
+    }
+  }
+
+  @Test
+  void aWatchTellsChangesAndItsEnd() throws Exception {
+    try (Site site = new Site(e -> e instanceof Start ? List.of(new Subscribe(true)) : List.of())) {
+      Peer discovery = site.atDiscovery();
+      assertEquals("GET /api/targets?stream=1&index=0 HTTP/1.1", discovery.line());
+      String change = "{\"generation\":2,\"reset\":false,\"instances\":[" + site.instance("terminating") + "]}\n";
+      discovery.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          + Integer.toHexString(change.length()) + "\r\n" + change + "\r\n");
+      assertEquals(ListKind.SAVED, site.await(ServerList.class).kind());
+      assertEquals(ListKind.CHANGES, site.await(ServerList.class).kind());
+      discovery.close();
+      assertEquals(ListKind.FAILED, site.await(ServerList.class).kind());
+    }
+  }
+
+  /** Guards against a discovery that was cut off: the watch stays open and brings nothing. */
+  @Test
+  void aSilentWatchHasFailed() throws Exception {
+    try (Site site = new Site(e -> e instanceof Start ? List.of(new Subscribe(true)) : List.of())) {
+      site.atDiscovery();
+      site.await(ServerList.class);
+      assertEquals(ListKind.FAILED, site.await(ServerList.class).kind());
+    }
+  }
+
+  @Test
+  void stopsPolitely() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      Thread stop = new Thread(() -> {
+        try {
+          site.proxy.stop();
+        } catch (InterruptedException e) {
+          Thread.currentThread().interrupt();
+        }
+      });
+      stop.start();
+      assertEquals("MOVE", client.line());
+      client.close();
+      server.awaitEnd();
+      stop.join();
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/lemondeal/proxy/Site.java
@@ -0,0 +1,172 @@
+package lemondeal.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import lemondeal.Balancer;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Event;
+import lemondeal.config.Config;
+
+/** A proxy on loopback with one server, a discovery and a module that does as the test says. */
+final class Site implements AutoCloseable {
+  private static final int PATIENCE_MS = 10_000;
+  static final String SERVER = "s-1";
+
+  /** A blocking socket that speaks lines. */
+  static final class Peer implements AutoCloseable {
+    final Socket socket;
+
+    Peer(Socket socket) throws IOException {
+      this.socket = socket;
+      socket.setSoTimeout(PATIENCE_MS);
+    }
+
+    Peer send(String text) throws IOException {
+      socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+      return this;
+    }
+
+    /** The next line without its end, or null at the end of the connection. */
+    String line() throws IOException {
+      InputStream in = socket.getInputStream();
+      StringBuilder line = new StringBuilder();
+      for (int b = in.read(); b >= 0; b = in.read()) {
+        if (b == '\n') {
+          return line.substring(0, line.length() - 1);
+        }
+        line.append((char) b);
+      }
+      return null;
+    }
+
+    /** Reads on to the end of the connection, however it ends. */
+    void awaitEnd() {
+      try {
+        while (line() != null) {
+          continue;
+        }
+      } catch (IOException e) {
+        assertNotNull(e, "a reset is an end too");
+      }
+    }
+
+    @Override
+    public void close() throws IOException {
+      socket.close();
+    }
+  }
+
+  private final Path file;
+  private final ServerSocket server = listener();
+  private final ServerSocket discovery = listener();
+  private final List<Peer> peers = new ArrayList<>();
+  final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+  final Proxy proxy;
+
+  /** {@code script} answers each event; it runs on the proxy's I/O thread. */
+  Site(Function<Event, List<Action>> script) throws IOException {
+    this(script, "");
+  }
+
+  /** {@code family} goes into the settings of this kind of service, with a comma behind it. */
+  Site(Function<Event, List<Action>> script, String family) throws IOException {
+    file = Files.createTempFile("lemondeal", ".json");
+    Files.writeString(file, config(family));
+    Balancer module = (now, event) -> {
+      events.add(event);
+      return script.apply(event);
+    };
+    proxy = new Proxy(Config.read(Map.of("GW_CONFIG", file.toString())), module, new PrintStream(System.err));
+    proxy.start();
+  }
+
+  private String config(String family) {
+    return """
+        {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1",
+         "limits":{"sockets":1024,"memory_mb":192},
+         "known":{"generation":1,"reset":true,"instances":[%s]},
+         "settings":{"azs":["a"],"flavors":["m"],"familyInfo":{%s "messageAim":[60000]},
+           "permissions":{"dialTimeout":500000,"cancelling":true},
+           "profiles":[{"name":"chat","semantics":"idempotent","aim":1000000,"hardLimit":2000000}]}}
+        """.formatted(discovery.getLocalPort(), instance("in_service"), family);
+  }
+
+  /** The site's server as discovery would list it. */
+  String instance(String lifecycle) {
+    return "{\"instanceId\":\"" + SERVER + "\",\"hostPort\":\"127.0.0.1:" + server.getLocalPort()
+        + "\",\"zone\":\"a\",\"machineType\":\"m\",\"lifecycle\":\"" + lifecycle + "\"}";
+  }
+
+  private static ServerSocket listener() throws IOException {
+    ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    socket.setSoTimeout(PATIENCE_MS);
+    return socket;
+  }
+
+  Peer client() throws IOException {
+    InetSocketAddress address = proxy.localAddress();
+    return keep(new Peer(new Socket(address.getAddress(), address.getPort())));
+  }
+
+  /** A client that has sent its first line. */
+  Peer client(String values) throws IOException {
+    return client().send("OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 " + values + "\r\n");
+  }
+
+  /** The next connection that comes to the server, or to discovery. */
+  Peer atServer() throws IOException {
+    return keep(new Peer(server.accept()));
+  }
+
+  Peer atDiscovery() throws IOException {
+    return keep(new Peer(discovery.accept()));
+  }
+
+  /** From now on the server's address refuses. */
+  void stopServer() throws IOException {
+    server.close();
+  }
+
+  private Peer keep(Peer peer) {
+    peers.add(peer);
+    return peer;
+  }
+
+  /** Waits for the next event of this kind; passes over others. */
+  <T extends Event> T await(Class<T> kind) throws InterruptedException {
+    Event event;
+    do {
+      event = events.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
+      assertNotNull(event, "no " + kind.getSimpleName() + " came");
+    } while (!kind.isInstance(event));
+    return kind.cast(event);
+  }
+
+  @Override
+  public void close() throws IOException {
+    for (Peer peer : peers) {
+      peer.close();
+    }
+    server.close();
+    discovery.close();
+    proxy.close();
+    Files.delete(file);
+  }
+}
