End the timer wheel's endless search when it runs empty; test parsers by random cuts

Seen: the wheel's new test never came back. A stack dump of it showed TimerWheel.findNext, whose loop went through all ticks up to Long.MAX_VALUE once no entry was left. advance() also kept a past deadline as the next one when all entries had been called off, so that the I/O thread would have been woken without a pause. Ruled out: the test's own clock (an overflow there was mended first, and the test still hung). Now an empty wheel asks for nothing. HTTP status 0xx is refused too, found by damaged answers.

--- a/src/main/java/lemondeal/codec/HttpParser.java
+++ b/src/main/java/lemondeal/codec/HttpParser.java
@@ -70,7 +70,7 @@
   }
 
   private void status(String line) throws ProtocolException {
-    if (!line.matches("HTTP/1\\.[01] \\d{3}( .*)?")) {
+    if (!line.matches("HTTP/1\\.[01] [1-9]\\d{2}( .*)?")) {
       throw new ProtocolException("not a status line: " + OpenLine.shown(line));
     }
     state = State.HEADERS;
--- a/src/main/java/lemondeal/proxy/TimerWheel.java
+++ b/src/main/java/lemondeal/proxy/TimerWheel.java
@@ -58,7 +58,11 @@
   void advance() {
     long end = now() / tick;
     while (current < end) {
-      if (size == 0 || nextTick > end) {
+      if (size == 0) {
+        // All were called off: a deadline in the past left standing here would be asked for without end.
+        nextTick = Long.MAX_VALUE;
+      }
+      if (nextTick > end) {
         current = end;
         return;
       }
@@ -90,7 +94,12 @@
 
   /** The nearest tick with an entry, at most one round on: entries of later rounds are looked at then. */
   private void findNext() {
-    nextTick = size == 0 ? Long.MAX_VALUE : current + slots.length;
+    if (size == 0) {
+      // Guards against a search through all ticks to come: it never ended once the wheel had run empty.
+      nextTick = Long.MAX_VALUE;
+      return;
+    }
+    nextTick = current + slots.length;
     for (long tickAt = current + 1; tickAt < nextTick; tickAt++) {
       if (holdsEntryFor(tickAt)) {
         nextTick = tickAt;
--- /dev/null
+++ b/src/test/java/lemondeal/codec/ParsersTest.java
@@ -0,0 +1,133 @@
+package lemondeal.codec;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.AlphaChars;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Random cuts of valid messages, and random garbage, against every parser. */
+class ParsersTest {
+  private static final int LONGEST = 4096;
+
+  /** Collects what an HTTP answer brings. */
+  private static final class Collected implements HttpParser.Sink {
+    final List<String> lines = new ArrayList<>();
+    int status;
+    boolean over;
+
+    @Override
+    public void status(int code) {
+      status = code;
+    }
+
+    @Override
+    public void line(String line) {
+      lines.add(line);
+    }
+
+    @Override
+    public void end() {
+      over = true;
+    }
+  }
+
+  private static Cuts.Taker into(LineParser parser, List<String> lines) {
+    return bytes -> {
+      for (String line = parser.next(bytes); line != null; line = parser.next(bytes)) {
+        lines.add(line);
+      }
+    };
+  }
+
+  private static String chunked(List<String> lines, Random random) {
+    String body = String.join("\n", lines) + "\n";
+    StringBuilder text = new StringBuilder("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int from = 0; from < body.length(); ) {
+      int length = Math.min(body.length() - from, 1 + random.nextInt(20));
+      text.append(Integer.toHexString(length)).append("\r\n").append(body, from, from + length).append("\r\n");
+      from += length;
+    }
+    return text.append("0\r\n\r\n").toString();
+  }
+
+  @Property(seed = "1", tries = 200)
+  void linesComeWholeHoweverTheyAreCut(@ForAll @Size(max = 20) List<@AlphaChars String> lines, @ForAll long seed)
+      throws ProtocolException {
+    List<String> out = new ArrayList<>();
+    Cuts.feed(String.join("\r\n", lines) + (lines.isEmpty() ? "" : "\r\n"), seed,
+        into(new LineParser(LONGEST), out));
+    assertEquals(lines, out);
+  }
+
+  @Property(seed = "2", tries = 300)
+  void damagedLinesAreRefusedOrRead(@ForAll @Size(max = 20) List<@AlphaChars String> lines, @ForAll long seed) {
+    List<String> out = new ArrayList<>();
+    Cuts.feedDamaged(String.join("\r\n", lines) + "\r\n", seed, into(new LineParser(64), out));
+    assertTrue(out.stream().allMatch(line -> line.length() <= 62));
+    out.forEach(line -> ServerLine.parse(line).figures());
+  }
+
+  @Property(seed = "3", tries = 50)
+  void theLongestLinePassesAndOneMoreByteDoesNot(@ForAll @IntRange(min = 3, max = LONGEST) int longest)
+      throws ProtocolException {
+    String line = "x".repeat(longest - 2);
+    byte[] fits = (line + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+    assertEquals(line, new LineParser(longest).next(ByteBuffer.wrap(fits)));
+    byte[] tooLong = ("x" + line + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+    assertThrows(ProtocolException.class, () -> new LineParser(longest).next(ByteBuffer.wrap(tooLong)));
+  }
+
+  @Property(seed = "4", tries = 200)
+  void onlyTheDeadlineOfAFirstLineIsRewritten(@ForAll @AlphaChars @Size(min = 1, max = 8) String value,
+      @ForAll @IntRange(max = 99_999) int before, @ForAll @IntRange(max = 99_999) int after)
+      throws ProtocolException {
+    String line = "OPEN 9b1f d=1 id=" + value + ",c=" + value + ",d=%d,g=d=7,x=" + before;
+    OpenLine open = OpenLine.parse(String.format(line, before));
+    assertEquals(before, open.deadlineMillis());
+    assertEquals(value, open.value("c"));
+    assertEquals(String.format(line, after) + "\r\n", open.withDeadline(after));
+  }
+
+  @Property(seed = "5", tries = 500)
+  void damagedFirstLinesAreRefusedOrRead(@ForAll long seed) {
+    Cuts.feedDamaged("OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=2000,g=5c0f\r\n", seed, bytes -> {
+      OpenLine open = OpenLine.parse(StandardCharsets.ISO_8859_1.decode(bytes).toString().trim());
+      assertTrue(open.withDeadline(5).contains("d=5"));
+    });
+  }
+
+  @Property(seed = "6", tries = 200)
+  void chunkedAnswersComeLineByLine(@ForAll @Size(min = 1, max = 10) List<@AlphaChars String> lines,
+      @ForAll long seed) throws ProtocolException {
+    Collected out = new Collected();
+    Cuts.feed(chunked(lines, new Random(seed)), seed, new HttpParser(LONGEST, out)::take);
+    assertEquals(lines, out.lines);
+    assertEquals(200, out.status);
+    assertTrue(out.over);
+  }
+
+  @Property(seed = "7", tries = 500)
+  void damagedAnswersAreRefusedOrRead(@ForAll @Size(min = 1, max = 5) List<@AlphaChars String> lines,
+      @ForAll long seed) {
+    Collected out = new Collected();
+    Cuts.feedDamaged(chunked(lines, new Random(seed)), seed, new HttpParser(LONGEST, out)::take);
+    assertTrue(out.status == 0 || (out.status >= 100 && out.status <= 999), "status " + out.status);
+  }
+
+  @Property(seed = "8", tries = 500)
+  void damagedJsonIsRefusedOrRead(@ForAll long seed) {
+    String text = "{\"generation\":41,\"instances\":[{\"instanceId\":\"s\",\"weight\":1.5,\"up\":true,\"x\":null}]}";
+    Cuts.feedDamaged(text, seed, bytes -> Json.object(StandardCharsets.ISO_8859_1.decode(bytes).toString()));
+    assertThrows(ProtocolException.class, () -> Json.object(text.substring(0, text.length() - 1)));
+  }
+}
--- /dev/null
+++ b/src/test/java/lemondeal/proxy/TimerWheelTest.java
@@ -0,0 +1,80 @@
+package lemondeal.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import lemondeal.net.Timers.Timer;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(20)
+class TimerWheelTest {
+  private static final long TICK = 5;
+
+  private long now = 1_000_003;
+  private int woken;
+  private final TimerWheel wheel = new TimerWheel(() -> now, TICK, 16, () -> woken++);
+  private final List<String> ran = new ArrayList<>();
+
+  private void passTo(long time) {
+    while (now < time) {
+      now += Math.max(1, Math.min(time - now, wheel.untilNext()));
+      wheel.advance();
+    }
+  }
+
+  /** Over many rounds of a small wheel: never early, never more than a tick late, in order. */
+  @Property(seed = "9", tries = 100)
+  void deadlinesComeInOrderAndInTime(@ForAll long seed) {
+    Random random = new Random(seed);
+    long[] lastTick = {0};
+    int[] lastNumber = {0};
+    int[] count = {0};
+    for (int i = 1; i <= 50; i++) {
+      int number = i;
+      long due = now + random.nextInt(1000);
+      wheel.after(due - now, () -> {
+        assertTrue(now >= due && now < due + 2 * TICK, now + " for " + due);
+        long tick = (due + TICK - 1) / TICK;
+        assertTrue(tick > lastTick[0] || number > lastNumber[0], "out of order");
+        lastTick[0] = tick;
+        lastNumber[0] = number;
+        count[0]++;
+      });
+    }
+    passTo(now + 1100);
+    assertEquals(50, count[0]);
+    assertEquals(Long.MAX_VALUE, wheel.untilNext());
+  }
+
+  @Test
+  void oneThatIsCalledOffDoesNotRunAndTasksMayCallOffOthers() {
+    Timer[] later = new Timer[1];
+    wheel.after(10, () -> {
+      ran.add("first");
+      later[0].cancel();
+      wheel.after(0, () -> ran.add("third"));
+    });
+    later[0] = wheel.after(10, () -> ran.add("second"));
+    wheel.after(200, () -> ran.add("far")).cancel();
+    passTo(now + 300);
+    assertEquals(List.of("first", "third"), ran);
+    assertEquals(Long.MAX_VALUE, wheel.untilNext(), "an empty wheel must not ask to be moved");
+  }
+
+  @Test
+  void anEarlierDeadlineAsksToBeMovedInTime() {
+    wheel.after(500, () -> ran.add("late"));
+    wheel.after(600, () -> ran.add("later"));
+    assertEquals(1, woken);
+    wheel.after(20, () -> ran.add("soon"));
+    assertEquals(2, woken);
+    passTo(now + 1000);
+    assertEquals(List.of("soon", "late", "later"), ran);
+  }
+}
