Refuse hopeless requests at once and tell refused clients when to come again

Seen: every refusal of the module went out as Refuse(id, 0), so that clients got a bare BUSY; and a request for which every server was over its limit was held, looked at each 0.1 s and refused 30 ms before its client left, also when no server's pass-over could end by then. At fault: Logic.giveUp (no advice) and the last branch of Logic.proceed (held in any case). The new test sees a held request and no advice without it.

--- a/src/main/java/lemondeal/Logic.java
+++ b/src/main/java/lemondeal/Logic.java
@@ -443,7 +443,8 @@
 
   /**
    * A server whose messages come late takes nobody, not even as a last resort: one more would cost those
-   * that it holds more than the newcomer gains. The request waits for a place and is refused at its end.
+   * that it holds more than the newcomer gains. The request waits while a place may come free in time, and
+   * is refused at once where none can.
    */
   private boolean overLimit(Server s) {
     return now < s.lateUntil || (now - s.demandAt < REPORT_FOR && s.demand > OVER_DEMAND);
@@ -691,7 +692,7 @@
     flow.outstanding = true;
     flow.established = true;
     flow.server().open.add(flow);
-      opened();
+    opened();
     flows.put(event.request().id(), flow);
   }
 
@@ -721,7 +722,7 @@
       hold(flow, Math.min(left, PROBE_WAIT + ANSWER_LEAD));
     } else if (s != null) {
       send(flow, s, left);
-    } else if (flow.tried.size() < Math.max(1, fleet.size())) {
+    } else if (flow.tried.size() < Math.max(1, fleet.size()) && placeIn(flow) < left - ANSWER_LEAD) {
       hold(flow, left);
     } else {
       giveUp(flow);
@@ -774,7 +775,30 @@
 
   private void giveUp(Flow flow) {
     flows.remove(flow.request.id());
-    out.add(mayRefuse(flow) ? new Refuse(flow.request.id(), 0) : new Fail(flow.request.id()));
+    out.add(mayRefuse(flow) ? new Refuse(flow.request.id(), retryAfter(flow)) : new Fail(flow.request.id()));
+  }
+
+  /** When coming again makes sense: the client is told, rather than held so that it does not come. */
+  private long retryAfter(Flow flow) {
+    Limits limits = settings.limits();
+    if (!limits.retryAfter()) {
+      return 0;
+    }
+    long pause = turnedAway(flow) ? limits.maxRetryAfter() : Math.max(HOLD, placeIn(flow));
+    return Math.min(limits.maxRetryAfter(), Math.max(pause, setupsHeldUntil - now));
+  }
+
+  /** Time until a server may take the flow, as far as it is known: 0 where one may do so any moment. */
+  private long placeIn(Flow flow) {
+    long soonest = Long.MAX_VALUE;
+    for (int i = 0; i < fleet.size(); i++) {
+      Server s = fleet.get(i);
+      if (usable(s, flow)) {
+        long reported = s.demand > OVER_DEMAND ? s.demandAt + REPORT_FOR : NEVER;
+        soonest = Math.min(soonest, Math.max(0, Math.max(s.lateUntil, reported) - now));
+      }
+    }
+    return soonest == Long.MAX_VALUE ? 0 : soonest;
   }
 
   private Effect effect(Flow flow) {
--- a/src/test/java/lemondeal/DeparturesTest.java
+++ b/src/test/java/lemondeal/DeparturesTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import lemondeal.Balancer.Request;
 import lemondeal.Balancer.Action;
 import lemondeal.Balancer.Arrived;
 import lemondeal.Balancer.Ended;
@@ -367,4 +368,20 @@
     node.take(new ProbeResult("nowhere", Outcome.TIMED_OUT, 1, null));
     assertNotNull(node.arrive("r"));
   }
+
+  /** A request that no server can take in time was once held to its deadline, and told nothing then. */
+  @Test
+  void aHopelessRequestIsRefusedAtOnceAndToldWhenToCome() {
+    Node node = new Node().fleet(2);
+    for (int i = 0; i < 20; i++) {
+      String server = node.open("open" + i, "key" + i, null);
+      node.late("open" + i, server, 110);
+    }
+    for (int i = 0; i < 10; i++) {
+      Request request = new Request("new" + i, node.now + Node.SECOND, 0, "other" + i, null, Double.NaN, false,
+          false, 0, false);
+      List<Action> actions = node.take(new Arrived(request));
+      assertEquals(List.of(new Refuse("new" + i, Node.SECOND)), actions);
+    }
+  }
 }
