Hold a server back for the client's ring, not for its own

Seen: reading Execution.room, which asked the client link for the room of the other direction. Checked with a new test that floods a client which does not read (16 MB): with the old line the I/O thread threw IllegalStateException, "no room for 2002 bytes in 1618", and lines were lost; with the new one all lines arrive. At fault: Execution.room. Six bytes are kept back so that a MOVE always fits.

--- a/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/src/main/java/lemondeal/proxy/ClientLink.java
@@ -345,6 +345,14 @@
         : new LoadChanged(id, from.number(), from.server(), figure));
   }
 
+  /**
+   * Bytes that {@link #pass} takes now, with room for a MOVE kept back. Guards against a client that reads
+   * slowly: what the server's side has room for says nothing of the client's.
+   */
+  int roomTowardsClient() {
+    return Math.max(0, link.free() - MOVE.length());
+  }
+
   /** Passes bytes of the server on to the client, for which there was room. */
   void pass(ByteBuffer bytes) {
     link.send(bytes);
--- a/src/main/java/lemondeal/proxy/Execution.java
+++ b/src/main/java/lemondeal/proxy/Execution.java
@@ -118,7 +118,7 @@
 
   @Override
   public int room() {
-    return up ? client.room() : context.limits().lineBytes();
+    return up ? client.roomTowardsClient() : context.limits().lineBytes();
   }
 
   @Override
--- a/src/test/java/lemondeal/proxy/ProxyTest.java
+++ b/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -5,7 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Function;
@@ -213,6 +216,48 @@
     }
   }
 
+  /** A client that read slowly once overran the ring: the room asked for was that of the other direction. */
+  @Test
+  void aSlowReaderHoldsItsServerBackAndLosesNothing() throws Exception {
+    int count = 8_000;
+    String text = "x".repeat(2_000) + "\r\n";
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      Thread flood = new Thread(() -> {
+        try {
+          for (int i = 0; i < count; i++) {
+            server.send(text);
+          }
+          server.send("BYE\r\n").close();
+        } catch (IOException e) {
+          throw new UncheckedIOException(e);
+        }
+      });
+      flood.start();
+      int lines = 0;
+      BufferedReader in = new BufferedReader(new InputStreamReader(client.socket.getInputStream()));
+      // The server is stopped by the full rings before the client reads its first line.
+      flood.join(300);
+      for (String line = in.readLine(); line != null; line = in.readLine()) {
+        lines++;
+      }
+      assertEquals(count + 1, lines);
+      assertEquals(Outcome.SERVED, site.await(Ended.class).outcome());
+    }
+  }
+
+  @Test
+  void aSilentServerHasItsClientMoved() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      up(site, client);
+      client.send("anyone there?\r\n");
+      assertEquals("MOVE", client.line());
+      assertEquals(Outcome.RESET, site.await(Ended.class).outcome());
+    }
+  }
+
   @Test
   void probesAndReadsTheReport() throws Exception {
     try (Site site = new Site(and(Arrived.class, e -> new Probe(Site.SERVER)))) {
