--- a/src/main/java/lemondeal/codec/OpenLine.java
+++ b/src/main/java/lemondeal/codec/OpenLine.java
@@ -8,15 +8,13 @@
   private static final String WORD = "OPEN ";
 
   private final String text;
-  private final String id;
   private final String key;
   private final Map<String, String> values;
   private final int deadlineFrom;
   private final int deadlineTo;
 
-  private OpenLine(String text, String id, String key, Map<String, String> values, int deadlineFrom) {
+  private OpenLine(String text, String key, Map<String, String> values, int deadlineFrom) {
     this.text = text;
-    this.id = id;
     this.key = key;
     this.values = values;
     this.deadlineFrom = deadlineFrom;
@@ -44,7 +42,7 @@
     if (deadlineFrom < 0 || !values.containsKey("c")) {
       throw new ProtocolException("c or d is missing: " + shown(line));
     }
-    OpenLine open = new OpenLine(line, words[1], words[2], values, deadlineFrom);
+    OpenLine open = new OpenLine(line, words[2], values, deadlineFrom);
     if (open.deadlineMillis() < 0) {
       throw new ProtocolException("d is no time: " + shown(values.get("d")));
     }
@@ -56,10 +54,6 @@
     return text.length() <= 60 ? text : text.substring(0, 60) + "...";
   }
 
-  public String id() {
-    return id;
-  }
-
   public String key() {
     return key;
   }
--- a/src/main/java/lemondeal/codec/ServerLine.java
+++ b/src/main/java/lemondeal/codec/ServerLine.java
@@ -1,7 +1,6 @@
 package lemondeal.codec;
 
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 
 /** A line that a server sent: its first word and what follows. */
@@ -15,7 +14,7 @@
   static {
     for (Kind kind : Kind.values()) {
       if (kind != Kind.OTHER) {
-        WORDS.put(kind.name().toUpperCase(Locale.ROOT), kind);
+        WORDS.put(kind.name(), kind);
       }
     }
   }
--- /dev/null
+++ b/src/test/java/lemondeal/config/ConfigTest.java
@@ -0,0 +1,55 @@
+package lemondeal.config;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class ConfigTest {
+  private static final Path EXAMPLE = Path.of("example/config.json");
+
+  @TempDir
+  Path folder;
+
+  private Config read(String text) throws IOException {
+    Path file = Files.writeString(folder.resolve("config.json"), text);
+    return Config.read(Map.of("GW_CONFIG", file.toString()));
+  }
+
+  @Test
+  void theExampleIsWhole() throws IOException {
+    Config config = read(Files.readString(EXAMPLE));
+    assertEquals(8443, config.listen().getPort());
+    assertEquals(List.of("chat"), config.names().classes());
+    assertEquals(150_000, config.limits().dial());
+    assertTrue(config.loadIsDelay());
+    assertTrue(2 * config.limits().clients() < 1024, "clients and servers fit the descriptors");
+  }
+
+  @Test
+  void theEnvironmentGoesFirst() {
+    Config config = Config.read(Map.of("GW_CONFIG", EXAMPLE.toString(), "GW_LISTEN", "127.0.0.1:99"));
+    assertEquals(99, config.listen().getPort());
+  }
+
+  /** Each kind of bad configuration is told in one plain line. */
+  @Test
+  void badConfigurationIsToldInOneLine() throws IOException {
+    String good = Files.readString(EXAMPLE);
+    for (String bad : List.of("", "[]", good.substring(0, 80), good.replace("127.0.0.1:8443", "localhost:1"),
+        good.replace("8c1f30d27a5be964", "none"), good.replace("\"sockets\": 1024", "\"sockets\": 9"),
+        good.replace("\"sockets\": 1024", "\"sockets\": true"), good.replace("idempotent", "maybe"))) {
+      ConfigException e = assertThrows(ConfigException.class, () -> read(bad));
+      assertFalse(e.getMessage().contains("\n"), e.getMessage());
+    }
+    assertThrows(ConfigException.class, () -> Config.read(Map.of()));
+  }
+}
