--- a/src/main/java/lemondeal/config/Part.java
+++ b/src/main/java/lemondeal/config/Part.java
@@ -4,7 +4,10 @@
 import java.util.List;
 import java.util.Map;
 
-/** One JSON object of the settings or the configuration with typed look-ups; what is absent reads as zero, false or empty. */
+/**
+ * One JSON object of the settings or the configuration with typed look-ups; what is absent reads as zero, false
+ * or empty.
+ */
 record Part(String name, Map<String, Object> values) {
 
   @SuppressWarnings("unchecked")
