--- a/src/main/java/lemondeal/Logic.java
+++ b/src/main/java/lemondeal/Logic.java
@@ -447,7 +447,11 @@
    * is refused at once where none can.
    */
   private boolean overLimit(Server s) {
-    return now < s.lateUntil || (now - s.demandAt < REPORT_FOR && s.demand > OVER_DEMAND);
+    return now < overLimitUntil(s);
+  }
+
+  private static long overLimitUntil(Server s) {
+    return Math.max(s.lateUntil, s.demand > OVER_DEMAND ? s.demandAt + REPORT_FOR : NEVER);
   }
 
   private boolean full(Server s) {
@@ -794,8 +798,7 @@
     for (int i = 0; i < fleet.size(); i++) {
       Server s = fleet.get(i);
       if (usable(s, flow)) {
-        long reported = s.demand > OVER_DEMAND ? s.demandAt + REPORT_FOR : NEVER;
-        soonest = Math.min(soonest, Math.max(0, Math.max(s.lateUntil, reported) - now));
+        soonest = Math.min(soonest, Math.max(0, overLimitUntil(s) - now));
       }
     }
     return soonest == Long.MAX_VALUE ? 0 : soonest;
--- a/src/main/java/lemondeal/net/Net.java
+++ b/src/main/java/lemondeal/net/Net.java
@@ -108,7 +108,7 @@
       }
     } catch (IOException e) {
       // Out of descriptors, say: the connection waits in the system's queue and is tried again.
-      thread.executeAfter(() -> accept(accepted), limits.linger(), TimeUnit.MICROSECONDS);
+      laterBy(limits.linger(), () -> accept(accepted));
     }
   }
 
--- a/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/src/main/java/lemondeal/proxy/ClientLink.java
@@ -43,7 +43,7 @@
   private String id;
   private OpenLine open;
   private Request request;
-  private long due;
+  private long adoptUntil;
   private int attempts;
   private Execution execution;
   private Timers.Timer timer;
@@ -64,10 +64,6 @@
     link.start(this);
   }
 
-  boolean isUp() {
-    return state == State.UP;
-  }
-
   // ---- First line ----------------------------------------------------------------------------
 
   @Override
@@ -117,14 +113,15 @@
       return;
     }
     long now = context.now();
-    due = now + (long) (open.deadlineMillis() * MILLI);
+    long due = now + (long) (open.deadlineMillis() * MILLI);
     id = gate.enter(this);
     // The client counts from its sending: what the module believes ends a little earlier.
     request = new Request(id, due - context.limits().answerLead(), requestClass, open.key(), open.value("g"),
         open.number("h"), false, open.marked("again"), 0, open.marked("r"));
     state = State.WAITING;
-    if (open.value("at") != null) {
-      adopt(now + context.limits().adoptFor());
+    if (isAdoption()) {
+      adoptUntil = now + context.limits().adoptFor();
+      adopt();
     } else {
       timer = context.timers().after(due - now, this::overdue);
       context.decisions().tell(new Arrived(request));
@@ -134,9 +131,7 @@
   /** Bad input ends this connection alone, with an answer where one is owed. */
   private void malformed() {
     if (state == State.UP) {
-      endBoth(Outcome.CANCELLED);
-    } else if (state == State.WAITING) {
-      clientGone();
+      breakOff(Outcome.CANCELLED);
     } else {
       answer(FAILED);
     }
@@ -150,8 +145,8 @@
   // ---- Executions ----------------------------------------------------------------------------
 
   /** The first line as the server should see it. */
-  String firstLine(long millisLeft) {
-    return open.withDeadline(millisLeft);
+  String firstLine(long microsLeft) {
+    return open.withDeadline(microsLeft / MILLI);
   }
 
   void execute(String server, long patience) {
@@ -172,17 +167,14 @@
   }
 
   /** A connection that was open before: its server is given, and no decision is made. */
-  private void adopt(long until) {
-    if (state != State.WAITING) {
-      return;
-    }
-    if (context.now() >= until) {
+  private void adopt() {
+    long left = adoptUntil - context.now();
+    if (left <= 0) {
       answer(busy(context.limits().throttleFor()));
       return;
     }
-    due = until;
     execution = new Execution(context, this, open.value("at"), attempts);
-    execution.start(until - context.now());
+    execution.start(left);
   }
 
   private boolean isAdoption() {
@@ -193,7 +185,7 @@
     execution = null;
     if (isAdoption() && !ended.isUp()) {
       if (state == State.WAITING) {
-        timer = context.timers().after(context.limits().adoptPause(), () -> adopt(due));
+        timer = context.timers().after(context.limits().adoptPause(), this::adopt);
       }
       return;
     }
@@ -307,13 +299,7 @@
     Timers.cancel(silence);
     if (!unanswered.isEmpty()) {
       long waited = context.now() - unanswered.peek();
-      silence = context.timers().after(context.limits().silence() - waited, this::silent);
-    }
-  }
-
-  private void silent() {
-    if (state == State.UP) {
-      moveNow(Outcome.RESET);
+      silence = context.timers().after(context.limits().silence() - waited, () -> moveNow(Outcome.RESET));
     }
   }
 
@@ -421,10 +407,11 @@
     }
   }
 
-  void serverBroke(Execution from, Outcome outcome) {
+  /** Ends both sides at once: the server's connection broke, or one side does not keep to the protocol. */
+  void breakOff(Outcome outcome) {
     leave();
     link.reset();
-    from.end(outcome, null);
+    execution.end(outcome, null);
   }
 
   @Override
@@ -451,10 +438,4 @@
       default -> drop();
     }
   }
-
-  private void endBoth(Outcome outcome) {
-    leave();
-    link.reset();
-    execution.end(outcome, null);
-  }
 }
--- a/src/main/java/lemondeal/proxy/Execution.java
+++ b/src/main/java/lemondeal/proxy/Execution.java
@@ -13,8 +13,6 @@
 
 /** One attempt of a request at one server, with its server link. Ends once and tells its client link. */
 final class Execution implements Link.Owner {
-  private static final long MILLI = 1000;
-
   private final Context context;
   private final ClientLink client;
   private final String server;
@@ -73,7 +71,7 @@
     link = opened;
     link.start(this);
     long left = Math.max(0, deadline - context.now());
-    link.send(client.firstLine(left / MILLI));
+    link.send(client.firstLine(left));
   }
 
   boolean isUp() {
@@ -147,10 +145,10 @@
         Timers.cancel(timeout);
         client.up(this, line);
       }
-      case BUSY -> end(Outcome.REFUSED, report(answer));
+      case BUSY -> end(Outcome.REFUSED, Reports.read(answer));
       case MOVE -> end(Outcome.CANCELLED, null);
-      case BYE -> client.servedAtOnce(this, line, report(answer));
-      default -> end(Outcome.ERROR, report(answer));
+      case BYE -> client.servedAtOnce(this, line, Reports.read(answer));
+      default -> end(Outcome.ERROR, Reports.read(answer));
     }
   }
 
@@ -187,7 +185,7 @@
 
   private void failed(Outcome outcome) {
     if (up) {
-      client.serverBroke(this, outcome);
+      client.breakOff(outcome);
     } else {
       end(outcome, null);
     }
@@ -210,8 +208,4 @@
   public void flushed() {
     client.resume();
   }
-
-  private LoadReport report(ServerLine line) {
-    return line.rest().isEmpty() ? null : Reports.read(line.figures());
-  }
 }
--- a/src/main/java/lemondeal/proxy/Prober.java
+++ b/src/main/java/lemondeal/proxy/Prober.java
@@ -120,7 +120,7 @@
       arm(context.limits().probeIdle(), Outcome.CANCELLED);
     }
     switch (line.kind()) {
-      case PONG -> tell(Outcome.SERVED, Reports.read(line.figures()));
+      case PONG -> tell(Outcome.SERVED, Reports.read(line));
       case BUSY -> tell(Outcome.REFUSED, null);
       default -> tell(Outcome.ERROR, null);
     }
--- a/src/main/java/lemondeal/proxy/Reports.java
+++ b/src/main/java/lemondeal/proxy/Reports.java
@@ -2,12 +2,18 @@
 
 import lemondeal.Balancer.LoadReport;
 import java.util.Map;
+import lemondeal.codec.ServerLine;
 
 /** Turns the names of a load report, as servers or as the settings write them, into the module's figures. */
 final class Reports {
   private Reports() {}
 
-  static LoadReport read(Map<String, Double> figures) {
+  /** The report behind a line's word, or null where there is none. */
+  static LoadReport read(ServerLine line) {
+    if (line.rest().isEmpty()) {
+      return null;
+    }
+    Map<String, Double> figures = line.figures();
     return new LoadReport(figure(figures, "x0", "x0"), figure(figures, "x1", "x1"),
         figure(figures, "inflight", "busy_reqs"), figure(figures, "queue", "pending"),
         figure(figures, "util", "cpu_share"));
--- a/src/main/java/lemondeal/proxy/SlotTable.java
+++ b/src/main/java/lemondeal/proxy/SlotTable.java
@@ -8,8 +8,6 @@
  * so that a handle kept too long finds nothing instead of the slot's next holder.
  */
 final class SlotTable<T> {
-  static final long NONE = -1;
-
   private final List<T> values = new ArrayList<>();
   private final List<Integer> generations = new ArrayList<>();
   private final List<Integer> free = new ArrayList<>();
