--- a/src/main/java/lemondeal/Main.java
+++ b/src/main/java/lemondeal/Main.java
@@ -15,7 +15,7 @@
     String word = args.length == 1 ? args[0] : "";
     switch (word) {
       case "serve" -> serve();
-      case "benchlink" -> lemondeal.benchlink.Main.main(args);
+      case "benchlink" -> System.exit(lemondeal.benchlink.Main.host());
       default -> {
         System.err.println("usage: java -jar lemondeal.jar serve | benchlink");
         System.exit(BAD_USE);
--- a/src/main/java/lemondeal/benchlink/Main.java
+++ b/src/main/java/lemondeal/benchlink/Main.java
@@ -24,13 +24,9 @@
     this.maker = maker;
   }
 
-  /** Run as {@code java -jar lemondeal.jar benchlink}. */
-  public static void main(String[] args) throws IOException {
-    if (args.length != 1 || !args[0].equals("benchlink")) {
-      System.err.println("usage: java -jar lemondeal.jar benchlink");
-      System.exit(2);
-    }
-    System.exit(new Main(Logic::new).run(System.in, System.out, System.err));
+  /** Serves the standard streams until the input ends; returns the exit code. */
+  public static int host() throws IOException {
+    return new Main(Logic::new).run(System.in, System.out, System.err);
   }
 
   /** Answers batches until the input ends; returns the exit code. */
