Reload the configuration on SIGHUP and move discovery to its new address

Checked: no handler is installed anywhere (Main has a shutdown hook only), so the JVM ended by its default. Ruled out: a fault in the stop itself, which the log shows running to its end. At fault: Main.serve; and Config.read, whose environment would have hidden the file's new discovery address. Now: each SIGHUP is read on a thread of its own, one after the other, and handed to the I/O thread checked. Discovery drops its old calls without a word to the module, watches the new address at once and repeats fetches still out; connections stand. A file that can't be used is one line in the log. Tests: ReloadTest (file against environment, bad file, the signal itself), ProxyTest (watch and fetch move).

--- a/src/main/java/lemondeal/Main.java
+++ b/src/main/java/lemondeal/Main.java
@@ -25,7 +25,10 @@
 
   private static void serve() {
     try {
-      Proxy proxy = new Proxy(Config.read(System.getenv()), new Logic(), System.err);
+      Config config = Config.read(System.getenv());
+      Proxy proxy = new Proxy(config, new Logic(), System.err);
+      Reload reload = new Reload(config, System.getenv(), proxy::reconfigure, System.err);
+      Hangup.handle(reload::request);
       proxy.start();
       System.err.println("lemondeal: listening on " + proxy.localAddress().getAddress().getHostAddress() + ":"
           + proxy.localAddress().getPort());
--- /dev/null
+++ b/src/main/java/lemondeal/Reload.java
@@ -0,0 +1,62 @@
+package lemondeal;
+
+import java.io.PrintStream;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import lemondeal.config.Config;
+
+/**
+ * Reads the configuration again when it is told to, off the I/O thread and one reload after the other. What is
+ * handed on has been checked; of what can't be used, one line in the log is all that comes.
+ */
+final class Reload implements AutoCloseable {
+  private static final long IDLE_SECONDS = 5;
+
+  private final Map<String, String> environment;
+  private final Consumer<Config> taker;
+  private final PrintStream log;
+  /** One thread at most, and none while nothing is to be read. */
+  private final ThreadPoolExecutor thread = new ThreadPoolExecutor(0, 1, IDLE_SECONDS, TimeUnit.SECONDS,
+      new LinkedBlockingQueue<>(), Reload::daemon);
+  private Config config;
+
+  Reload(Config config, Map<String, String> environment, Consumer<Config> taker, PrintStream log) {
+    this.config = config;
+    this.environment = environment;
+    this.taker = taker;
+    this.log = log;
+  }
+
+  private static Thread daemon(Runnable task) {
+    Thread thread = new Thread(task, "reload");
+    thread.setDaemon(true);
+    return thread;
+  }
+
+  /** Asks for a reload, from any thread. */
+  void request() {
+    thread.execute(this::read);
+  }
+
+  /** A mistake in a file, of whatever kind, must not end a proxy that is serving. */
+  private void read() {
+    try {
+      Config fresh = config.reread(environment);
+      taker.accept(fresh);
+      log.println("lemondeal: configuration read anew, discovery at " + fresh.discovery()
+          + (fresh.runsAs(config) ? "" : "; its other changes count from the next start"));
+      config = fresh;
+    } catch (RuntimeException e) {
+      log.println("lemondeal: the configuration stays as it was: " + e.getMessage());
+    }
+  }
+
+  /** Nothing more is read. */
+  @Override
+  public void close() {
+    thread.shutdownNow();
+  }
+}
--- a/src/main/java/lemondeal/config/Config.java
+++ b/src/main/java/lemondeal/config/Config.java
@@ -14,13 +14,13 @@
 /**
  * What a proxy is told at its start, by the environment and the file that it names.
  *
+ * @param discoveryInFile where the file itself says that discovery is: a change there counts at a reload
  * @param known the list of servers in discovery's form, as this proxy last had it
  * @param loadIsDelay whether a server's LOAD line carries the milliseconds that a message takes there, not
  *     the connection's load: so where the settings say that servers tell delays and no loads
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed,
-    Map<String, Object> known, Settings settings, Names names, boolean loadIsDelay,
-    Limits limits) {
+public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, String discoveryInFile,
+    long seed, Map<String, Object> known, Settings settings, Names names, boolean loadIsDelay, Limits limits) {
 
   /** Names that stand on sockets where the module has indices. */
   public record Names(List<String> classes, List<String> zones, List<String> models) {}
@@ -32,6 +32,21 @@
 
   /** Reads {@code GW_CONFIG}; {@code GW_NAME}, {@code GW_LISTEN} and {@code GW_DISCOVERY} go before it. */
   public static Config read(Map<String, String> environment) {
+    return read(environment, null);
+  }
+
+  /** Reads the file again, in a running proxy. What can't be used throws, and this configuration stays. */
+  public Config reread(Map<String, String> environment) {
+    return read(environment, this);
+  }
+
+  /** Whether nothing but discovery's address differs, of what a running proxy could take over. */
+  public boolean runsAs(Config other) {
+    return name.equals(other.name) && listen.equals(other.listen) && settings.equals(other.settings)
+        && limits.equals(other.limits);
+  }
+
+  private static Config read(Map<String, String> environment, Config before) {
     String file = environment.get("GW_CONFIG");
     if (file == null || file.isEmpty()) {
       throw new ConfigException("GW_CONFIG names no file");
@@ -41,10 +56,11 @@
     Part permissions = settings.part("permissions");
     Part limits = root.part("limits");
     Part family = settings.part("familyInfo");
+    String discoveryInFile = root.text("discovery", "");
     return new Config(
         environment.getOrDefault("GW_NAME", root.text("name", "proxy")),
         address("listen", environment.getOrDefault("GW_LISTEN", root.text("listen", ""))),
-        address("discovery", environment.getOrDefault("GW_DISCOVERY", root.text("discovery", ""))),
+        discovery(environment, discoveryInFile, before), discoveryInFile,
         seed(root.text("seed", "0")), root.part("known").values(), SettingsReader.read(settings.values()),
         new Names(names(settings.parts("profiles")), texts(settings.list("azs")), texts(settings.list("flavors"))),
         family.flag("tellsDelay") && !family.flag("tellsLoad"),
@@ -52,6 +68,17 @@
             permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE)));
   }
 
+  /**
+   * Guards against the environment, which can't change while the proxy runs, hiding the address that the file
+   * names anew: what the file says differently than before goes first.
+   */
+  private static InetSocketAddress discovery(Map<String, String> environment, String inFile, Config before) {
+    if (before == null) {
+      return address("discovery", environment.getOrDefault("GW_DISCOVERY", inFile));
+    }
+    return inFile.equals(before.discoveryInFile) ? before.discovery : address("discovery", inFile);
+  }
+
   private static Map<String, Object> object(String file) {
     try {
       return Json.object(Files.readString(Path.of(file)));
--- a/src/main/java/lemondeal/discovery/Call.java
+++ b/src/main/java/lemondeal/discovery/Call.java
@@ -56,6 +56,10 @@
     }, this::fail);
   }
 
+  boolean isOver() {
+    return over;
+  }
+
   /** Ends the call without a word. */
   void stop() {
     over = true;
--- a/src/main/java/lemondeal/discovery/Discovery.java
+++ b/src/main/java/lemondeal/discovery/Discovery.java
@@ -3,6 +3,7 @@
 import lemondeal.Balancer.ListKind;
 import lemondeal.Balancer.ServerList;
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
@@ -18,10 +19,12 @@
   private final Net net;
   private final Timers timers;
   private final Limits limits;
-  private final InetSocketAddress address;
   private final HostGroup group;
   private final Consumer<ServerList> told;
+  private final List<Call> fetches = new ArrayList<>();
+  private InetSocketAddress address;
   private Call watch;
+  private boolean wanted;
 
   public Discovery(Net net, Timers timers, Limits limits, InetSocketAddress address, HostGroup group,
       Consumer<ServerList> told) {
@@ -33,8 +36,32 @@
     this.told = told;
   }
 
+  /**
+   * From now on discovery is asked at this address: for a watch at once if the module wants one, and again for
+   * each list that is still out. Guards against the old address being told as a failure: the module would then
+   * wait before it asks again, and miss what the new address has to say in the meantime.
+   */
+  public void moveTo(InetSocketAddress newAddress) {
+    if (newAddress.equals(address)) {
+      return;
+    }
+    address = newAddress;
+    List<Call> out = List.copyOf(fetches);
+    fetches.clear();
+    for (Call fetch : out) {
+      if (!fetch.isOver()) {
+        fetch.stop();
+        fetch();
+      }
+    }
+    if (wanted) {
+      watch(true);
+    }
+  }
+
   /** Begins a new watch in place of any other, or ends it. */
   public void watch(boolean on) {
+    wanted = on;
     if (watch != null) {
       watch.stop();
       watch = null;
@@ -46,7 +73,8 @@
 
   /** Asks once for the whole list. */
   public void fetch() {
-    call(false);
+    fetches.removeIf(Call::isOver);
+    fetches.add(call(false));
   }
 
   private Call call(boolean isWatch) {
--- a/src/main/java/lemondeal/proxy/Proxy.java
+++ b/src/main/java/lemondeal/proxy/Proxy.java
@@ -83,6 +83,11 @@
     new ClientLink(context, gate, link).start();
   }
 
+  /** Takes over a configuration read anew and checked; may be called on any thread, also during a stop. */
+  public void reconfigure(Config fresh) {
+    net.later(() -> discovery.moveTo(fresh.discovery()));
+  }
+
   // ---- Stop ----------------------------------------------------------------------------------
 
   /**
--- /dev/null
+++ b/src/test/java/lemondeal/ReloadTest.java
@@ -0,0 +1,95 @@
+package lemondeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lemondeal.config.Config;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A configuration file that is replaced under a running proxy. */
+@Timeout(30)
+class ReloadTest {
+  private static final int OLD = 8500;
+
+  @TempDir
+  Path folder;
+
+  private final BlockingQueue<Config> taken = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> logged = new LinkedBlockingQueue<>();
+  private final PrintStream log = new PrintStream(new ByteArrayOutputStream()) {
+    @Override
+    public void println(String line) {
+      logged.add(line);
+    }
+  };
+
+  private Map<String, String> write(int port) throws IOException {
+    String example = Files.readString(Path.of("example/config.json"));
+    Path file = folder.resolve("config.json");
+    Files.writeString(file, example.replace("127.0.0.1:" + OLD, "127.0.0.1:" + port));
+    return Map.of("GW_CONFIG", file.toString(), "GW_DISCOVERY", "127.0.0.1:" + OLD);
+  }
+
+  private Reload reload(Map<String, String> environment) {
+    return new Reload(Config.read(environment), environment, taken::add, log);
+  }
+
+  private int nextPort() throws InterruptedException {
+    Config config = taken.poll(10, TimeUnit.SECONDS);
+    assertNotNull(config, logged::toString);
+    return config.discovery().getPort();
+  }
+
+  /** The environment names the address of the start, and would hide every later one. */
+  @Test
+  void theFilesNewAddressCounts() throws Exception {
+    Map<String, String> environment = write(OLD);
+    try (Reload reload = reload(environment)) {
+      for (int port : new int[] {8501, 8502}) {
+        write(port);
+        reload.request();
+        assertEquals(port, nextPort());
+      }
+      reload.request();
+      assertEquals(8502, nextPort(), "a file that has not changed changes nothing");
+    }
+  }
+
+  @Test
+  void aBadFileIsOneLineInTheLogAndTheOldOneStays() throws Exception {
+    Map<String, String> environment = write(OLD);
+    try (Reload reload = reload(environment)) {
+      Files.writeString(Path.of(environment.get("GW_CONFIG")), "{\"name\":");
+      reload.request();
+      String line = logged.poll(10, TimeUnit.SECONDS);
+      assertTrue(line != null && line.contains("stays as it was") && !line.contains("\n"), line);
+      assertTrue(taken.isEmpty());
+      write(8501);
+      reload.request();
+      assertEquals(8501, nextPort());
+    }
+  }
+
+  /** A JVM that has no handler ends on SIGHUP: with this test's own process, if the handler is taken out. */
+  @Test
+  void hangupIsHeardEachTime() throws Exception {
+    BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+    Hangup.handle(() -> heard.add("HUP"));
+    for (int i = 0; i < 3; i++) {
+      new ProcessBuilder("kill", "-HUP", Long.toString(ProcessHandle.current().pid())).start().waitFor();
+      assertNotNull(heard.poll(10, TimeUnit.SECONDS));
+    }
+  }
+}
--- a/src/test/java/lemondeal/proxy/ProxyTest.java
+++ b/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -11,6 +11,7 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Function;
 import lemondeal.Balancer.Action;
 import lemondeal.Balancer.Adopted;
@@ -20,6 +21,7 @@
 import lemondeal.Balancer.Ended;
 import lemondeal.Balancer.Established;
 import lemondeal.Balancer.Event;
+import lemondeal.Balancer.FetchList;
 import lemondeal.Balancer.ListKind;
 import lemondeal.Balancer.LoadChanged;
 import lemondeal.Balancer.MessageDelay;
@@ -288,6 +290,27 @@
     }
   }
 
+  /** The old address's end is no failure of discovery, and what was asked there is asked anew. */
+  @Test
+  void aReloadMovesDiscoveryAndTellsNoFailure() throws Exception {
+    try (Site site = new Site(e -> e instanceof Start ? List.of(new Subscribe(true), new FetchList()) : List.of());
+        Site other = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN + ",at=" + Site.SERVER);
+      Peer server = up(site, client);
+      Peer first = site.atDiscovery();
+      Peer second = site.atDiscovery();
+      site.moveDiscovery(other);
+      assertEquals(Set.of("GET /api/targets HTTP/1.1", "GET /api/targets?stream=1&index=1 HTTP/1.1"),
+          Set.of(other.atDiscovery().line(), other.atDiscovery().line()));
+      first.awaitEnd();
+      second.awaitEnd();
+      server.send("still here\r\n");
+      assertEquals("still here", client.line());
+      assertEquals(ListKind.SAVED, site.await(ServerList.class).kind());
+      assertFalse(site.events.stream().anyMatch(ServerList.class::isInstance));
+    }
+  }
+
   /** Guards against a discovery that was cut off: the watch stays open and brings nothing. */
   @Test
   void aSilentWatchHasFailed() throws Exception {
--- a/src/test/java/lemondeal/proxy/Site.java
+++ b/src/test/java/lemondeal/proxy/Site.java
@@ -74,6 +74,7 @@
   }
 
   private final Path file;
+  private final Config config;
   private final ServerSocket server = listener();
   private final ServerSocket discovery = listener();
   private final List<Peer> peers = new ArrayList<>();
@@ -93,7 +94,8 @@
       events.add(event);
       return script.apply(event);
     };
-    proxy = new Proxy(Config.read(Map.of("GW_CONFIG", file.toString())), module, new PrintStream(System.err));
+    config = Config.read(Map.of("GW_CONFIG", file.toString()));
+    proxy = new Proxy(config, module, new PrintStream(System.err));
     proxy.start();
   }
 
@@ -114,6 +116,12 @@
         + "\",\"zone\":\"a\",\"machineType\":\"m\",\"lifecycle\":\"" + lifecycle + "\"}";
   }
 
+  /** Has the proxy take over a configuration that names the other site's discovery. */
+  void moveDiscovery(Site other) throws IOException {
+    Files.writeString(file, config("").replace(":" + discovery.getLocalPort(), ":" + other.discovery.getLocalPort()));
+    proxy.reconfigure(config.reread(Map.of("GW_CONFIG", file.toString())));
+  }
+
   private static ServerSocket listener() throws IOException {
     ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     socket.setSoTimeout(PATIENCE_MS);
