Bound connections without a request on their own, and each connection's share of a turn

Ruled out: memory (44 of 144 MB) and CPU (0.4 s a second at most). At fault: Net.accept's one count; firstLine of 10 s; Link.readable, which read until the socket was empty; PING answers without a look at the ring; TimerWheel, stopped by any failing task; a used id, '5d' and '1e3' let in by OpenLine; a reading suspended before UP, behind which a client's leaving went unseen. Now: Newcomer holds connections up to their first line, bounded by what is free, the oldest goes; the library keeps the count of accepted ones; turns and lingering have budgets; rings are taken on first use; a failure ends its own connection and is told; bytes before UP, used ids and odd numbers get ERR at once.

--- a/src/main/java/lemondeal/codec/OpenLine.java
+++ b/src/main/java/lemondeal/codec/OpenLine.java
@@ -2,19 +2,26 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.regex.Pattern;
 
 /** A connection's first line: {@code OPEN id key name=value,...}. The text is kept as the client sent it. */
 public final class OpenLine {
   private static final String WORD = "OPEN ";
 
+  /** A plain number: what else Java reads as one ("0x1p3", "5d", "NaN") is none on the wire. */
+  private static final Pattern NUMBER = Pattern.compile("[0-9]{1,15}(\\.[0-9]{1,15})?");
+  private static final Pattern ID = Pattern.compile("[0-9a-fA-F]{16}");
+
   private final String text;
+  private final String id;
   private final String key;
   private final Map<String, String> values;
   private final int deadlineFrom;
   private final int deadlineTo;
 
-  private OpenLine(String text, String key, Map<String, String> values, int deadlineFrom) {
+  private OpenLine(String text, String id, String key, Map<String, String> values, int deadlineFrom) {
     this.text = text;
+    this.id = id;
     this.key = key;
     this.values = values;
     this.deadlineFrom = deadlineFrom;
@@ -23,7 +30,7 @@
 
   public static OpenLine parse(String line) throws ProtocolException {
     String[] words = line.split(" ", -1);
-    if (!line.startsWith(WORD) || words.length != 4 || words[1].isEmpty() || words[2].isEmpty()) {
+    if (!line.startsWith(WORD) || words.length != 4 || !ID.matcher(words[1]).matches() || words[2].isEmpty()) {
       throw new ProtocolException("not a first line: " + shown(line));
     }
     Map<String, String> values = new HashMap<>();
@@ -42,7 +49,7 @@
     if (deadlineFrom < 0 || !values.containsKey("c")) {
       throw new ProtocolException("c or d is missing: " + shown(line));
     }
-    OpenLine open = new OpenLine(line, words[2], values, deadlineFrom);
+    OpenLine open = new OpenLine(line, words[1], words[2], values, deadlineFrom);
     if (open.deadlineMillis() < 0) {
       throw new ProtocolException("d is no time: " + shown(values.get("d")));
     }
@@ -54,6 +61,10 @@
     return text.length() <= 60 ? text : text.substring(0, 60) + "...";
   }
 
+  public String id() {
+    return id;
+  }
+
   public String key() {
     return key;
   }
@@ -70,11 +81,7 @@
   /** A value that is a number, or NaN. */
   public double number(String name) {
     String value = values.get(name);
-    try {
-      return value == null ? Double.NaN : Double.parseDouble(value);
-    } catch (NumberFormatException e) {
-      return Double.NaN;
-    }
+    return value != null && NUMBER.matcher(value).matches() ? Double.parseDouble(value) : Double.NaN;
   }
 
   /** -1 where {@code d} is no number: such a line is not accepted. */
--- a/src/main/java/lemondeal/config/Limits.java
+++ b/src/main/java/lemondeal/config/Limits.java
@@ -7,14 +7,21 @@
  * @param lineBytes longest line of the protocol, its end included
  * @param ringBytes a ring buffer; holds at least one longest line and a final {@code MOVE}
  * @param listLineBytes longest line in an answer of discovery
- * @param clients client links held at once; those beyond are throttled
- * @param accepted connections accepted at once, those being throttled included
+ * @param turnBytes read from one connection before the others have their turn
+ * @param lingerBytes read from a closed side at most
+ * @param clients client links with a request held at once; those beyond are throttled
+ * @param newcomers connections that have not sent their first line held at once when all client links are taken,
+ *     and two more for each that is not; beyond, the oldest goes
+ * @param lingering closed sides still read at once; beyond, the oldest goes
+ * @param accepted connections accepted at once, of whatever kind
  * @param tick of the timer wheel
  * @param wheelSlots in the timer wheel
  * @param dial a connection not up by then could not be had
  * @param answerLead how much earlier than the client the module believes that the client gives up
- * @param firstLine a client that has not sent its first line by then is sent away
+ * @param firstLine a client that has not sent its first line by then is sent away: an end is owed to it within
+ *     3 s of its connecting
  * @param silence a line unanswered this long tells that the server answers nothing any more
+ * @param unanswered lines to a server whose answers are waited for at once
  * @param linger how long a closed side is still read, so that what was written to it arrives
  * @param moveWithin a move that finds no end of a line by then is made all the same
  * @param noteEvery least time between two notes on one server's delay
@@ -28,31 +35,41 @@
  * @param drainAccept how long connections still come after the order to stop
  * @param drainMost the longest that a stop may take
  */
-public record Limits(int lineBytes, int ringBytes, int listLineBytes, int clients, int accepted, long tick,
-    int wheelSlots, long dial, long answerLead, long firstLine, long silence, long linger, long moveWithin,
-    long noteEvery, double noteShare, long probe, long probeIdle, long watchSilence, long adoptPause,
+public record Limits(int lineBytes, int ringBytes, int listLineBytes, int turnBytes, int lingerBytes, int clients,
+    int newcomers, int lingering, int accepted, long tick, int wheelSlots, long dial, long answerLead,
+    long firstLine, long silence, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe, long probeIdle, long watchSilence, long adoptPause,
     long adoptFor, long throttleFor, long drainAccept, long drainMost) {
 
   private static final long MILLI = 1_000;
   private static final long SECOND = 1_000_000;
-  /** Descriptors that the program needs beside its clients' and servers': files, selectors, probes, lists. */
-  private static final int OWN_SOCKETS = 96;
-  /** Accepted connections beyond the clients, to be told that there is no room. */
-  private static final int SPARE_ACCEPTED = 32;
+  /** Descriptors of the program itself: 13 are seen (files, selectors, the listener); the rest is room. */
+  private static final int OWN_FILES = 24;
+  /** Descriptors for one probe link to each server and for calls to discovery. */
+  private static final int OWN_SOCKETS = 24;
+  /** Connections without a request: so many on the smallest machine, and one more for each so many sockets. */
+  private static final int IDLE_LEAST = 36;
+  private static final int IDLE_PART = 16;
+  private static final int SMALLEST = 256;
+  /** Connections accepted in one go before the oldest of a full crowd are closed. */
+  private static final int ACCEPT_SLACK = 6;
   private static final int RING_BYTES = 8192;
   /** Share of the memory that rings may take. */
   private static final int RINGS_PART = 8;
 
   /** Derives the counts from what the machine allows. */
   public static Limits of(int sockets, int memoryMb, long dialTimeout, long keepalive) {
-    int bySockets = (sockets - OWN_SOCKETS - SPARE_ACCEPTED) / 2;
+    int idle = IDLE_LEAST + Math.max(0, sockets - SMALLEST) / IDLE_PART;
+    int lingering = idle / 3;
+    int newcomers = idle - lingering - ACCEPT_SLACK;
+    int bySockets = (sockets - OWN_FILES - OWN_SOCKETS - idle) / 2;
     int byMemory = (int) Math.min(Integer.MAX_VALUE, ((long) memoryMb << 20) / RINGS_PART / (2 * RING_BYTES));
     int clients = Math.min(bySockets, byMemory);
     if (clients < 1) {
       throw new ConfigException("limits: " + sockets + " sockets and " + memoryMb + " MB leave no room for clients");
     }
-    return new Limits(4096, RING_BYTES, 1 << 20, clients, clients + SPARE_ACCEPTED, 5 * MILLI, 1024,
-        dialTimeout, 10 * MILLI, 10 * SECOND, 5 * SECOND, 500 * MILLI, 800 * MILLI, SECOND, 1.0 / 3, SECOND,
-        keepalive, 3500 * MILLI, 250 * MILLI, 35 * SECOND, SECOND, 450 * MILLI, 3500 * MILLI);
+    return new Limits(4096, RING_BYTES, 1 << 20, 64 * 1024, 64 * 1024, clients, newcomers, lingering,
+        2 * clients + idle, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 64, 500 * MILLI,
+        800 * MILLI, SECOND, 1.0 / 3, SECOND, keepalive, 3500 * MILLI, 250 * MILLI, 35 * SECOND, SECOND,
+        450 * MILLI, 3500 * MILLI);
   }
 }
--- /dev/null
+++ b/src/main/java/lemondeal/net/Crowd.java
@@ -0,0 +1,39 @@
+package lemondeal.net;
+
+import java.util.LinkedHashSet;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+
+/**
+ * Holders of a descriptor that have no request. They are bounded apart from all others: when there are too many,
+ * the oldest is sent away, so that connections by the hundred that say nothing keep no client out.
+ */
+public final class Crowd<T> {
+  private final IntSupplier most;
+  private final Consumer<T> away;
+  private final LinkedHashSet<T> members = new LinkedHashSet<>();
+
+  /** {@code away} ends a member, which has left by then; how many there may be can change. */
+  public Crowd(IntSupplier most, Consumer<T> away) {
+    this.most = most;
+    this.away = away;
+  }
+
+  public void enter(T member) {
+    members.add(member);
+    trim();
+  }
+
+  /** Sends away whom there is no room for any more. */
+  public void trim() {
+    while (members.size() > Math.max(0, most.getAsInt())) {
+      T oldest = members.iterator().next();
+      members.remove(oldest);
+      away.accept(oldest);
+    }
+  }
+
+  public void leave(T member) {
+    members.remove(member);
+  }
+}
--- a/src/main/java/lemondeal/net/Dial.java
+++ b/src/main/java/lemondeal/net/Dial.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.util.function.Consumer;
 import org.xnio.IoFuture;
+import org.xnio.IoUtils;
 import org.xnio.StreamConnection;
 
 /** A connection being opened. Tells its outcome once, on the I/O thread, unless it was called off. */
@@ -42,15 +43,15 @@
       return;
     }
     try {
-      Link link = net.adopt(result.get());
       if (over) {
         // The connection came up in the moment in which it was called off.
-        link.close();
+        IoUtils.safeClose(result.get());
         return;
       }
       over = true;
       timeout.cancel();
-      connected.accept(link);
+      Link link = new Link(net, result.get());
+      link.guarded(() -> connected.accept(link));
     } catch (IOException e) {
       fail();
     }
--- /dev/null
+++ b/src/main/java/lemondeal/net/Faults.java
@@ -0,0 +1,39 @@
+package lemondeal.net;
+
+import java.io.PrintStream;
+
+/**
+ * Where the program's own failures go. Guards against one connection's failure reaching others: what is caught
+ * here is told in the log, never swallowed, and whoever ran the task goes on.
+ */
+public final class Faults {
+  private final PrintStream log;
+
+  public Faults(PrintStream log) {
+    this.log = log;
+  }
+
+  /** Runs the task; if it fails, tells so and runs {@code failed}, which may fail in its turn. */
+  public void guard(Runnable task, Runnable failed) {
+    try {
+      task.run();
+    } catch (RuntimeException e) {
+      tell(e);
+      try {
+        failed.run();
+      } catch (RuntimeException again) {
+        tell(again);
+      }
+    }
+  }
+
+  /** Runs a task that belongs to no connection. */
+  public void guard(Runnable task) {
+    guard(task, () -> { });
+  }
+
+  private void tell(RuntimeException e) {
+    log.println("lemondeal: failed inside: " + e);
+    e.printStackTrace(log);
+  }
+}
--- a/src/main/java/lemondeal/net/Link.java
+++ b/src/main/java/lemondeal/net/Link.java
@@ -37,11 +37,13 @@
   private final StreamConnection connection;
   private final ConduitStreamSourceChannel source;
   private final ConduitStreamSinkChannel sink;
-  private final Ring out;
+  /** Taken on first use and given back when it is empty: most links have nothing waiting. */
+  private Ring out;
   private Owner owner;
   private boolean closed;
   private boolean lastSent;
   private boolean sinkShut;
+  private boolean otherEnded;
   private Timers.Timer lingering;
 
   Link(Net net, StreamConnection connection) {
@@ -49,9 +51,8 @@
     this.connection = connection;
     source = connection.getSourceChannel();
     sink = connection.getSinkChannel();
-    out = net.rings().take();
-    source.setReadListener(channel -> readable());
-    sink.setWriteListener(channel -> writable());
+    source.setReadListener(channel -> guarded(this::readable));
+    sink.setWriteListener(channel -> guarded(this::writable));
   }
 
   /** Begins to read for this owner. */
@@ -60,14 +61,29 @@
     resume();
   }
 
+  /** Reads what has come already, before the selector says so. */
+  public void readNow() {
+    guarded(this::readable);
+  }
+
   /** Room for bytes to be sent. */
   public int free() {
-    return closed || lastSent ? Integer.MAX_VALUE : out.free();
+    return closed || lastSent ? Integer.MAX_VALUE : out == null ? net.limits().ringBytes() : out.free();
   }
 
   /** Whether all that was sent has been written to the socket; also after the close. */
   public boolean isFlushed() {
-    return out.isEmpty();
+    return out == null || out.isEmpty();
+  }
+
+  /** Runs what concerns this link: a failure in it ends this connection alone. */
+  public void guarded(Runnable task) {
+    net.faults().guard(task, this::broke);
+  }
+
+  /** Runs the task after a time, as {@link #guarded} does. */
+  public Timers.Timer after(long micros, Runnable task) {
+    return net.timers().after(micros, () -> guarded(task));
   }
 
   public void send(String text) {
@@ -80,6 +96,9 @@
       bytes.position(bytes.limit());
       return;
     }
+    if (out == null) {
+      out = net.rings().take();
+    }
     out.put(bytes);
     flush();
   }
@@ -111,8 +130,11 @@
     }
     owner = new Lingering();
     endSending();
-    if (!closed && lingering == null) {
-      lingering = net.timers().after(net.limits().linger(), this::close);
+    if (otherEnded && isFlushed()) {
+      close();
+    } else if (!closed && lingering == null) {
+      lingering = after(net.limits().linger(), this::close);
+      net.lingering().enter(this);
       resume();
     }
   }
@@ -126,10 +148,14 @@
   public void close() {
     if (!closed) {
       closed = true;
-      Timers.cancel(lingering);
+      if (lingering != null) {
+        lingering.cancel();
+        net.lingering().leave(this);
+      }
       IoUtils.safeClose(connection);
-      out.release(net.rings());
-      net.closed();
+      if (out != null) {
+        out.release(net.rings());
+      }
     }
   }
 
@@ -145,10 +171,15 @@
     }
   }
 
+  /**
+   * Reads for one turn. Guards against a side that sends at full speed: read until its socket is empty, it would
+   * keep all others from the one I/O thread. What is left over is told again in the next turn.
+   */
   private void readable() {
     try {
-      while (!closed) {
-        int room = owner.room();
+      int left = net.limits().turnBytes();
+      while (!closed && left > 0) {
+        int room = Math.min(left, owner.room());
         if (room <= 0) {
           source.suspendReads();
           return;
@@ -159,11 +190,13 @@
           return;
         }
         if (count < 0) {
+          otherEnded = true;
           source.suspendReads();
           source.shutdownReads();
           owner.ended();
           return;
         }
+        left -= count;
         owner.received(bytes.flip());
       }
     } catch (IOException e) {
@@ -175,19 +208,23 @@
     if (closed) {
       return;
     }
-    boolean waited = !out.isEmpty();
+    boolean waited = !isFlushed();
     flush();
-    if (waited && !closed && out.isEmpty()) {
+    if (waited && !closed && isFlushed()) {
       owner.flushed();
     }
   }
 
   private void flush() {
     try {
-      out.writeTo(sink);
-      if (!out.isEmpty()) {
-        sink.resumeWrites();
-        return;
+      if (out != null) {
+        out.writeTo(sink);
+        if (!out.isEmpty()) {
+          sink.resumeWrites();
+          return;
+        }
+        out.release(net.rings());
+        out = null;
       }
       if (lastSent && !sinkShut) {
         sinkShut = true;
@@ -200,7 +237,7 @@
       }
     } catch (IOException e) {
       // Told later: whoever sends must not hear of the failure in the middle of its own work.
-      net.later(this::broke);
+      net.later(() -> guarded(this::broke));
     }
   }
 
@@ -214,15 +251,21 @@
     }
   }
 
-  /** Reads and drops until the other side has ended too. */
+  /**
+   * Reads and drops until the other side has ended too, but not without end: a side that goes on sending at full
+   * speed is not worth the time, and has had its answer.
+   */
   private final class Lingering implements Owner {
+    private int left = net.limits().lingerBytes();
+
     @Override
     public int room() {
-      return Integer.MAX_VALUE;
+      return left;
     }
 
     @Override
     public void received(ByteBuffer bytes) {
+      left -= bytes.remaining();
       bytes.position(bytes.limit());
     }
 
@@ -240,7 +283,9 @@
 
     @Override
     public void flushed() {
-      // Closed when the other side ends, or by the timer.
+      if (otherEnded) {
+        close();
+      }
     }
   }
 }
--- a/src/main/java/lemondeal/net/Net.java
+++ b/src/main/java/lemondeal/net/Net.java
@@ -30,13 +30,15 @@
   private final ByteBuffer scratch = ByteBuffer.allocateDirect(SCRATCH_BYTES);
   private final XnioWorker worker;
   private final XnioIoThread thread;
+  private final Faults faults;
+  private final Crowd<Link> lingering;
   private Timers timers;
   private AcceptingChannel<StreamConnection> server;
-  private int open;
-  private boolean accepting;
 
-  public Net(Limits limits) throws IOException {
+  public Net(Limits limits, Faults faults) throws IOException {
     this.limits = limits;
+    this.faults = faults;
+    lingering = new Crowd<>(limits::lingering, Link::close);
     rings = new RingPool(limits.ringBytes());
     worker = Xnio.getInstance().createWorker(OptionMap.builder()
         .set(Options.WORKER_NAME, "lemondeal")
@@ -54,7 +56,7 @@
 
   /** Runs the task on the I/O thread, after what runs there now. */
   public void later(Runnable task) {
-    thread.execute(task);
+    thread.execute(() -> faults.guard(task));
   }
 
   /** Runs the task on the I/O thread and waits for it. */
@@ -71,15 +73,18 @@
   }
 
   public XnioIoThread.Key laterBy(long micros, Runnable task) {
-    return thread.executeAfter(task, micros, TimeUnit.MICROSECONDS);
+    return thread.executeAfter(() -> faults.guard(task), micros, TimeUnit.MICROSECONDS);
   }
 
-  /** Accepts connections; beyond the limit they wait in the system's queue until others have closed. */
+  /**
+   * Accepts connections. Beyond the limit they wait in the system's queue until others have closed: the library
+   * keeps that count, since its acceptor holds connections that have not come up to the I/O thread yet.
+   */
   public void listen(InetSocketAddress address, Consumer<Link> accepted) throws IOException {
     server = worker.createStreamConnectionServer(address, channel -> accept(accepted),
         OptionMap.builder().addAll(SOCKETS).set(Options.REUSE_ADDRESSES, true)
-            .set(Options.BACKLOG, BACKLOG).getMap());
-    accepting = true;
+            .set(Options.BACKLOG, BACKLOG).set(Options.CONNECTION_HIGH_WATER, limits.accepted())
+            .set(Options.CONNECTION_LOW_WATER, limits.accepted() - 1).getMap());
     server.resumeAccepts();
   }
 
@@ -95,20 +100,23 @@
   private void accept(Consumer<Link> accepted) {
     try {
       while (server != null) {
-        if (open >= limits.accepted() + limits.clients()) {
-          accepting = false;
-          server.suspendAccepts();
-          return;
-        }
         StreamConnection connection = server.accept();
         if (connection == null) {
           return;
         }
-        accepted.accept(adopt(connection));
+        Link link = new Link(this, connection);
+        link.guarded(() -> accepted.accept(link));
       }
     } catch (IOException e) {
-      // Out of descriptors, say: the connection waits in the system's queue and is tried again.
-      laterBy(limits.linger(), () -> accept(accepted));
+      // Out of descriptors, say: connections wait in the system's queue and are tried again.
+      server.suspendAccepts();
+      laterBy(limits.linger(), this::resumeAccepts);
+    }
+  }
+
+  private void resumeAccepts() {
+    if (server != null) {
+      server.resumeAccepts();
     }
   }
 
@@ -129,17 +137,12 @@
     return thread.openStreamConnection(address, null, SOCKETS);
   }
 
-  Link adopt(StreamConnection connection) {
-    open++;
-    return new Link(this, connection);
+  Faults faults() {
+    return faults;
   }
 
-  void closed() {
-    open--;
-    if (!accepting && server != null) {
-      accepting = true;
-      server.resumeAccepts();
-    }
+  Crowd<Link> lingering() {
+    return lingering;
   }
 
   RingPool rings() {
--- a/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/src/main/java/lemondeal/proxy/ClientLink.java
@@ -10,9 +10,7 @@
 import lemondeal.Balancer.MessageDelay;
 import lemondeal.Balancer.Outcome;
 import lemondeal.Balancer.Request;
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
 import lemondeal.codec.LineParser;
 import lemondeal.codec.OpenLine;
 import lemondeal.codec.ProtocolException;
@@ -21,56 +19,75 @@
 import lemondeal.net.Timers;
 
 /**
- * A client's side of a connection: its first line, its one final answer and, once its server says UP, what
+ * A client's side of a connection behind its first line: its one final answer and, once its server says UP, what
  * passes between the two. Owns the executions of its request, one at a time.
  */
 final class ClientLink implements Link.Owner {
   private static final long MILLI = 1000;
   private static final String MOVE = "MOVE\r\n";
-  private static final String FAILED = "ERR\r\n";
+  static final String FAILED = "ERR\r\n";
 
-  private enum State { FIRST_LINE, WAITING, UP, OVER }
+  private enum State { WAITING, UP, OVER }
 
   private final Context context;
   private final Gate gate;
   private final Link link;
   private final LineParser lines;
-  /** What the client sent before UP, though it should have waited. */
-  private final ByteArrayOutputStream early = new ByteArrayOutputStream(0);
-  /** When the lines went out that the server has not answered yet. */
-  private final ArrayDeque<Long> unanswered = new ArrayDeque<>();
-  private State state = State.FIRST_LINE;
+  private final Unanswered unanswered;
+  private final OpenLine open;
+  private final int requestClass;
+  private State state = State.WAITING;
   private String id;
-  private OpenLine open;
   private Request request;
   private long adoptUntil;
   private int attempts;
   private Execution execution;
   private Timers.Timer timer;
-  private Timers.Timer silence;
   private boolean moving;
   private boolean clientEnded;
   private boolean serverEnded;
 
-  ClientLink(Context context, Gate gate, Link link) {
+  ClientLink(Context context, Gate gate, Link link, OpenLine open, int requestClass) {
     this.context = context;
     this.gate = gate;
     this.link = link;
+    this.open = open;
+    this.requestClass = requestClass;
     lines = new LineParser(context.limits().lineBytes());
+    unanswered = new Unanswered(context, link, () -> moveNow(Outcome.RESET));
   }
 
+  /** The gate must have room. */
   void start() {
-    timer = context.timers().after(context.limits().firstLine(), this::drop);
+    long now = context.now();
+    long due = now + (long) (open.deadlineMillis() * MILLI);
+    id = gate.enter(this);
+    // The client counts from its sending: what the module believes ends a little earlier.
+    request = new Request(id, due - context.limits().answerLead(), requestClass, open.key(), open.value("g"),
+        open.number("h"), false, open.marked("again"), 0, open.marked("r"));
     link.start(this);
+    if (isAdoption()) {
+      adoptUntil = now + context.limits().adoptFor();
+      adopt();
+    } else {
+      timer = link.after(due - now, this::overdue);
+      context.decisions().tell(new Arrived(request));
+    }
+  }
+
+  /** The id that the client gave its request; the module knows the request by another. */
+  String givenId() {
+    return open.id();
   }
 
-  // ---- First line ----------------------------------------------------------------------------
+  Link link() {
+    return link;
+  }
 
   @Override
   public int room() {
     return switch (state) {
-      case FIRST_LINE -> context.limits().lineBytes();
-      case WAITING -> context.limits().lineBytes() - early.size();
+      case WAITING -> context.limits().lineBytes();
       default -> execution == null || execution.link() == null ? 0 : execution.link().free();
     };
   }
@@ -78,68 +95,17 @@
   @Override
   public void received(ByteBuffer bytes) {
     try {
-      while (state == State.FIRST_LINE && bytes.hasRemaining()) {
-        String line = lines.next(bytes);
-        if (line != null) {
-          firstLine(line);
-        }
-      }
-      if (state == State.WAITING) {
-        while (bytes.hasRemaining()) {
-          early.write(bytes.get());
-        }
-      } else if (state == State.UP) {
+      if (state == State.UP) {
         toServer(bytes);
+      } else if (state == State.WAITING) {
+        // A client waits for its answer. What it sends all the same would be kept for a server that may never
+        // be found, and a reading that had to be suspended for it would not see the client leave.
+        refuse();
       }
     } catch (ProtocolException e) {
-      malformed();
-    }
-    bytes.position(bytes.limit());
-  }
-
-  private void firstLine(String line) throws ProtocolException {
-    if (line.equals("PING")) {
-      link.send("PONG\r\n");
-      return;
-    }
-    open = OpenLine.parse(line);
-    int requestClass = context.config().names().classes().indexOf(open.value("c"));
-    if (requestClass < 0) {
-      throw new ProtocolException("unknown class " + open.value("c"));
-    }
-    Timers.cancel(timer);
-    if (!gate.admits()) {
-      answer(busy(context.limits().throttleFor()));
-      return;
-    }
-    long now = context.now();
-    long due = now + (long) (open.deadlineMillis() * MILLI);
-    id = gate.enter(this);
-    // The client counts from its sending: what the module believes ends a little earlier.
-    request = new Request(id, due - context.limits().answerLead(), requestClass, open.key(), open.value("g"),
-        open.number("h"), false, open.marked("again"), 0, open.marked("r"));
-    state = State.WAITING;
-    if (isAdoption()) {
-      adoptUntil = now + context.limits().adoptFor();
-      adopt();
-    } else {
-      timer = context.timers().after(due - now, this::overdue);
-      context.decisions().tell(new Arrived(request));
-    }
-  }
-
-  /** Bad input ends this connection alone, with an answer where one is owed. */
-  private void malformed() {
-    if (state == State.UP) {
       breakOff(Outcome.CANCELLED);
-    } else {
-      answer(FAILED);
     }
-  }
-
-  private void drop() {
-    state = State.OVER;
-    link.close();
+    bytes.position(bytes.limit());
   }
 
   // ---- Executions ----------------------------------------------------------------------------
@@ -185,7 +151,7 @@
     execution = null;
     if (isAdoption() && !ended.isUp()) {
       if (state == State.WAITING) {
-        timer = context.timers().after(context.limits().adoptPause(), this::adopt);
+        timer = link.after(context.limits().adoptPause(), this::adopt);
       }
       return;
     }
@@ -202,11 +168,6 @@
     } else {
       context.decisions().tell(new Established(id, from.number(), from.server(), from.elapsed()));
     }
-    if (early.size() > 0) {
-      ByteBuffer bytes = ByteBuffer.wrap(early.toByteArray());
-      early.reset();
-      received(bytes);
-    }
     if (gate.isClosing()) {
       move();
     }
@@ -232,7 +193,7 @@
     }
   }
 
-  private static String busy(long micros) {
+  static String busy(long micros) {
     return micros <= 0 ? "BUSY\r\n" : "BUSY " + (micros + MILLI - 1) / MILLI + "\r\n";
   }
 
@@ -245,11 +206,16 @@
   /** Guards the promise of an answer in time, should the module let a request lie. */
   private void overdue() {
     if (state == State.WAITING) {
-      answer(FAILED);
-      gone();
+      refuse();
     }
   }
 
+  /** Ends the request from this side, with an answer and whatever the module makes of it. */
+  private void refuse() {
+    answer(FAILED);
+    gone();
+  }
+
   private void clientGone() {
     leave();
     link.close();
@@ -269,10 +235,8 @@
   private void leave() {
     state = State.OVER;
     Timers.cancel(timer);
-    Timers.cancel(silence);
-    if (id != null) {
-      gate.leave(id);
-    }
+    unanswered.stop();
+    gate.leave(id);
   }
 
   // ---- Passing on ----------------------------------------------------------------------------
@@ -281,36 +245,20 @@
     ByteBuffer looked = bytes.duplicate();
     while (looked.hasRemaining()) {
       if (lines.next(looked) != null) {
-        lineFromClient();
+        unanswered.lineSent();
       }
     }
     execution.link().send(bytes);
   }
 
-  private void lineFromClient() {
-    unanswered.add(context.now());
-    if (unanswered.size() == 1) {
-      armSilence();
-    }
-  }
-
-  /** Guards against a server that was cut off: its connection stays open and brings nothing. */
-  private void armSilence() {
-    Timers.cancel(silence);
-    if (!unanswered.isEmpty()) {
-      long waited = context.now() - unanswered.peek();
-      silence = context.timers().after(context.limits().silence() - waited, () -> moveNow(Outcome.RESET));
-    }
-  }
-
   void lineFromServer(Execution from, ServerLine line) {
     if (line.kind() == ServerLine.Kind.LOAD) {
       note(from, line.number());
-    } else if (!unanswered.isEmpty()) {
-      long now = context.now();
-      long took = now - unanswered.poll();
-      armSilence();
-      context.delays().measured(now, id, from.number(), from.server(), took);
+    } else {
+      long took = unanswered.lineCame();
+      if (took >= 0) {
+        context.delays().measured(context.now(), id, from.number(), from.server(), took);
+      }
     }
     if (moving) {
       moveNow(Outcome.CANCELLED);
@@ -367,7 +315,7 @@
       moveNow(Outcome.CANCELLED);
     } else {
       Timers.cancel(timer);
-      timer = context.timers().after(context.limits().moveWithin(), () -> moveNow(Outcome.CANCELLED));
+      timer = link.after(context.limits().moveWithin(), () -> moveNow(Outcome.CANCELLED));
     }
   }
 
@@ -395,7 +343,7 @@
       finishBoth(serverFirst);
     } else {
       Timers.cancel(timer);
-      timer = context.timers().after(context.limits().linger(), () -> finishBoth(serverFirst));
+      timer = link.after(context.limits().linger(), () -> finishBoth(serverFirst));
     }
   }
 
@@ -421,9 +369,8 @@
       execution.link().endSending();
       oneEnded(serverEnded);
     } else if (state == State.WAITING) {
-      clientGone();
-    } else {
-      drop();
+      // Most have left altogether; one that has only ended its sending still reads what it is owed.
+      refuse();
     }
   }
 
@@ -435,7 +382,7 @@
         execution.reset();
       }
       case WAITING -> clientGone();
-      default -> drop();
+      default -> { }
     }
   }
 }
--- a/src/main/java/lemondeal/proxy/Execution.java
+++ b/src/main/java/lemondeal/proxy/Execution.java
@@ -59,10 +59,10 @@
     InetSocketAddress address = context.group().address(server);
     if (patience < 0 || address == null) {
       Outcome outcome = patience < 0 ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION;
-      context.net().later(() -> end(outcome, null));
+      context.net().later(() -> client.link().guarded(() -> end(outcome, null)));
       return;
     }
-    timeout = context.timers().after(patience, () -> end(Outcome.TIMED_OUT, null));
+    timeout = client.link().after(patience, () -> end(Outcome.TIMED_OUT, null));
     dial = context.net().dial(address, context.limits().dial(), this::connected,
         () -> end(Outcome.NO_CONNECTION, null));
   }
--- a/src/main/java/lemondeal/proxy/Gate.java
+++ b/src/main/java/lemondeal/proxy/Gate.java
@@ -14,6 +14,11 @@
     return !closing && !requests.isFull();
   }
 
+  /** Whether a request that a client gave this id is inside: nobody else may use the id meanwhile. */
+  boolean holds(String givenId) {
+    return requests.holds(givenId);
+  }
+
   String enter(ClientLink client) {
     return requests.add(client);
   }
--- /dev/null
+++ b/src/main/java/lemondeal/proxy/Newcomer.java
@@ -0,0 +1,133 @@
+package lemondeal.proxy;
+
+import java.nio.ByteBuffer;
+import lemondeal.codec.LineParser;
+import lemondeal.codec.OpenLine;
+import lemondeal.codec.ProtocolException;
+import lemondeal.net.Crowd;
+import lemondeal.net.Link;
+import lemondeal.net.Timers;
+
+/**
+ * An accepted connection up to its first line. Answers {@code PING}; makes a {@link ClientLink} of a client whose
+ * line can be used, and sends away everybody else, soon: whatever comes is owed an answer or an end.
+ */
+final class Newcomer implements Link.Owner {
+  /** The longest answer that may be owed behind those to {@code PING}, and what a cut line may still add. */
+  private static final int ANSWER_ROOM = 64;
+
+  private final Context context;
+  private final Gate gate;
+  private final Crowd<Newcomer> crowd;
+  private final Link link;
+  private final LineParser lines;
+  private Timers.Timer timer;
+  private boolean over;
+
+  Newcomer(Context context, Gate gate, Crowd<Newcomer> crowd, Link link) {
+    this.context = context;
+    this.gate = gate;
+    this.crowd = crowd;
+    this.link = link;
+    lines = new LineParser(context.limits().lineBytes());
+  }
+
+  void start() {
+    timer = link.after(context.limits().firstLine(), this::drop);
+    link.start(this);
+    crowd.enter(this);
+  }
+
+  /**
+   * A {@code PONG} is as long as its {@code PING}, so that the answers always fit. Guards against a client that
+   * asks at full speed and does not read: its ring was overrun.
+   */
+  @Override
+  public int room() {
+    return Math.min(context.limits().lineBytes(), link.free() - ANSWER_ROOM);
+  }
+
+  @Override
+  public void received(ByteBuffer bytes) {
+    try {
+      while (!over && bytes.hasRemaining()) {
+        String line = lines.next(bytes);
+        if (line != null) {
+          firstLine(line, bytes.hasRemaining());
+        }
+      }
+    } catch (ProtocolException e) {
+      answer(ClientLink.FAILED);
+    }
+    bytes.position(bytes.limit());
+  }
+
+  private void firstLine(String line, boolean moreFollows) throws ProtocolException {
+    if (line.equals("PING")) {
+      link.send("PONG\r\n");
+      return;
+    }
+    OpenLine open = OpenLine.parse(line);
+    int requestClass = context.config().names().classes().indexOf(open.value("c"));
+    if (requestClass < 0) {
+      throw new ProtocolException("unknown class " + open.value("c"));
+    }
+    if (moreFollows) {
+      throw new ProtocolException("a client waits behind its first line");
+    }
+    if (gate.holds(open.id())) {
+      throw new ProtocolException("the id of an open request");
+    }
+    if (!gate.admits()) {
+      answer(ClientLink.busy(context.limits().throttleFor()));
+      return;
+    }
+    leave();
+    new ClientLink(context, gate, link, open, requestClass).start();
+    crowd.trim();
+  }
+
+  private void answer(String line) {
+    leave();
+    link.send(line);
+    link.finish();
+  }
+
+  /**
+   * Leaves for others that come, unless the first line has come in the meantime. Guards against usual clients
+   * that come in a burst: they are accepted by the hundred before the first of them is read.
+   */
+  void makeRoom() {
+    link.readNow();
+    if (!over) {
+      drop();
+    }
+  }
+
+  /** Ends the connection without a word. */
+  private void drop() {
+    leave();
+    link.close();
+  }
+
+  private void leave() {
+    over = true;
+    Timers.cancel(timer);
+    crowd.leave(this);
+  }
+
+  @Override
+  public void ended() {
+    drop();
+  }
+
+  @Override
+  public void broken() {
+    drop();
+  }
+
+  @Override
+  public void flushed() {
+    link.resume();
+  }
+}
--- a/src/main/java/lemondeal/proxy/Proxy.java
+++ b/src/main/java/lemondeal/proxy/Proxy.java
@@ -27,6 +27,8 @@
 import lemondeal.config.Limits;
 import lemondeal.discovery.Discovery;
 import lemondeal.discovery.HostGroup;
+import lemondeal.net.Crowd;
+import lemondeal.net.Faults;
 import lemondeal.net.Link;
 import lemondeal.net.Net;
 import org.xnio.XnioIoThread;
@@ -43,6 +45,7 @@
   private final Context context;
   private final Requests requests;
   private final Gate gate;
+  private final Crowd<Newcomer> newcomers;
   private final PrintStream log;
   private final Map<String, Prober> probers = new HashMap<>();
   private final CountDownLatch stopped = new CountDownLatch(1);
@@ -53,8 +56,9 @@
     this.log = log;
     limits = config.limits();
     Clock clock = new Clock();
-    net = new Net(limits);
-    wheel = new TimerWheel(clock::now, limits.tick(), limits.wheelSlots(), this::scheduleAdvance);
+    Faults faults = new Faults(log);
+    net = new Net(limits, faults);
+    wheel = new TimerWheel(clock::now, limits.tick(), limits.wheelSlots(), faults, this::scheduleAdvance);
     net.use(wheel);
     group = new HostGroup(config.names());
     decisions = new Decisions(module, clock::now, this::act);
@@ -63,6 +67,7 @@
     context = new Context(config, net, wheel, group, decisions, delays);
     requests = new Requests(limits.clients());
     gate = new Gate(requests);
+    newcomers = new Crowd<>(() -> limits.newcomers() + 2 * requests.left(), Newcomer::makeRoom);
   }
 
   /** Starts on the I/O thread; returns when clients are accepted, or throws what went wrong. */
@@ -80,7 +85,7 @@
   }
 
   private void accepted(Link link) {
-    new ClientLink(context, gate, link).start();
+    new Newcomer(context, gate, newcomers, link).start();
   }
 
   /** Takes over a configuration read anew and checked; may be called on any thread, also during a stop. */
@@ -114,7 +119,7 @@
     // What was written last must still arrive before the process ends.
     gate.close(() -> wheel.after(limits.linger(), stopped::countDown));
     for (ClientLink client : requests.all()) {
-      client.move();
+      client.link().guarded(client::move);
     }
     if (requests.isEmpty()) {
       stopped.countDown();
@@ -170,7 +175,7 @@
   private void with(String id, Consumer<ClientLink> act) {
     ClientLink client = requests.find(id);
     if (client != null) {
-      act.accept(client);
+      client.link().guarded(() -> act.accept(client));
     }
   }
 
--- a/src/main/java/lemondeal/proxy/Requests.java
+++ b/src/main/java/lemondeal/proxy/Requests.java
@@ -1,6 +1,8 @@
 package lemondeal.proxy;
 
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 
 /**
  * The requests and connections under way, by the id under which the module knows them: the slot's handle. A
@@ -8,6 +10,7 @@
  */
 final class Requests {
   private final SlotTable<ClientLink> slots;
+  private final Set<String> givenIds = new HashSet<>();
 
   Requests(int most) {
     slots = new SlotTable<>(most);
@@ -17,11 +20,21 @@
     return slots.isFull();
   }
 
+  /** Slots that are free. */
+  int left() {
+    return slots.left();
+  }
+
   boolean isEmpty() {
     return slots.size() == 0;
   }
 
+  boolean holds(String givenId) {
+    return givenIds.contains(givenId);
+  }
+
   String add(ClientLink client) {
+    givenIds.add(client.givenId());
     return Long.toHexString(slots.add(client));
   }
 
@@ -31,7 +44,12 @@
   }
 
   void remove(String id) {
-    slots.remove(Long.parseLong(id, 16));
+    long handle = Long.parseLong(id, 16);
+    ClientLink client = slots.get(handle);
+    if (client != null) {
+      givenIds.remove(client.givenId());
+      slots.remove(handle);
+    }
   }
 
   List<ClientLink> all() {
--- a/src/main/java/lemondeal/proxy/SlotTable.java
+++ b/src/main/java/lemondeal/proxy/SlotTable.java
@@ -22,6 +22,10 @@
     return size >= most;
   }
 
+  int left() {
+    return most - size;
+  }
+
   int size() {
     return size;
   }
--- a/src/main/java/lemondeal/proxy/TimerWheel.java
+++ b/src/main/java/lemondeal/proxy/TimerWheel.java
@@ -1,6 +1,7 @@
 package lemondeal.proxy;
 
 import java.util.function.LongSupplier;
+import lemondeal.net.Faults;
 import lemondeal.net.Timers;
 
 /**
@@ -11,6 +12,7 @@
   private final LongSupplier clock;
   private final long tick;
   private final Entry[] slots;
+  private final Faults faults;
   private final Runnable earlier;
   private long current;
   private long nextTick = Long.MAX_VALUE;
@@ -19,9 +21,10 @@
   /**
    * @param earlier is run when a deadline comes in before all others, so that the wheel is moved in time
    */
-  TimerWheel(LongSupplier clock, long tick, int slotCount, Runnable earlier) {
+  TimerWheel(LongSupplier clock, long tick, int slotCount, Faults faults, Runnable earlier) {
     this.clock = clock;
     this.tick = tick;
+    this.faults = faults;
     this.earlier = earlier;
     slots = new Entry[slotCount];
     for (int i = 0; i < slotCount; i++) {
@@ -73,12 +76,15 @@
     }
   }
 
-  /** Looks from the front after each task: a task may call off any other entry. */
+  /**
+   * Looks from the front after each task: a task may call off any other entry. One that fails must not stop the
+   * others: the wheel would never be moved again.
+   */
   private void runTick() {
     Entry entry = firstDue();
     while (entry != null) {
       entry.cancel();
-      entry.task.run();
+      faults.guard(entry.task);
       entry = firstDue();
     }
   }
--- /dev/null
+++ b/src/test/java/lemondeal/net/LinkTest.java
@@ -0,0 +1,126 @@
+package lemondeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import lemondeal.config.Limits;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Links on loopback, with peers that send more than is good. */
+@Timeout(30)
+class LinkTest {
+  private final Limits limits = Limits.of(1024, 192, 500_000, 5_000_000);
+  private final BlockingQueue<Link> accepted = new LinkedBlockingQueue<>();
+  private Net net;
+
+  /** Counts what comes before the I/O thread turns to its next task. */
+  private final class Counting implements Link.Owner {
+    final BlockingQueue<Integer> turns = new LinkedBlockingQueue<>();
+    private int inTurn;
+
+    @Override
+    public int room() {
+      return Integer.MAX_VALUE;
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+      if (inTurn == 0) {
+        net.later(() -> {
+          turns.add(inTurn);
+          inTurn = 0;
+        });
+      }
+      inTurn += bytes.remaining();
+    }
+
+    @Override
+    public void ended() {
+      turns.add(-1);
+    }
+
+    @Override
+    public void broken() {
+      turns.add(-1);
+    }
+
+    @Override
+    public void flushed() {
+      // Nothing is sent.
+    }
+  }
+
+  @BeforeEach
+  void listen() throws Exception {
+    net = new Net(limits, new Faults(System.err));
+    net.run(() -> {
+      net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), accepted::add);
+      return null;
+    });
+  }
+
+  @AfterEach
+  void shutdown() {
+    net.shutdown();
+  }
+
+  private Link next() throws InterruptedException {
+    return accepted.poll(10, TimeUnit.SECONDS);
+  }
+
+  /** A side at full speed was once read until its socket was empty, however long that took. */
+  @Test
+  void oneTurnReadsABoundedPart() throws Exception {
+    try (SocketChannel peer = SocketChannel.open(net.localAddress())) {
+      peer.configureBlocking(false);
+      ByteBuffer bytes = ByteBuffer.allocate(1 << 20);
+      long sent = 0;
+      for (int count = peer.write(bytes); count > 0; count = peer.write(bytes.clear())) {
+        sent += count;
+      }
+      assertTrue(sent > 2L * limits.turnBytes(), "the system takes enough: " + sent);
+      Counting owner = new Counting();
+      Link link = next();
+      net.later(() -> link.start(owner));
+      for (long got = 0; got < sent; ) {
+        int turn = owner.turns.poll(10, TimeUnit.SECONDS);
+        assertTrue(turn > 0 && turn <= limits.turnBytes(), "one turn read " + turn);
+        got += turn;
+      }
+    }
+  }
+
+  /** A ring for each accepted connection was memory for whoever says nothing. */
+  @Test
+  void aLinkThatHasNothingToSendHoldsNoRing() throws Exception {
+    BufferPoolMXBean direct = ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class).stream()
+        .filter(pool -> pool.getName().equals("direct")).findFirst().orElseThrow();
+    List<SocketChannel> peers = new ArrayList<>();
+    try {
+      long before = direct.getMemoryUsed();
+      for (int i = 0; i < 60; i++) {
+        peers.add(SocketChannel.open(net.localAddress()));
+        assertEquals(limits.ringBytes(), next().free());
+      }
+      assertTrue(direct.getMemoryUsed() - before < 30L * limits.ringBytes());
+    } finally {
+      for (SocketChannel peer : peers) {
+        peer.close();
+      }
+    }
+  }
+}
