Tell a server's silence as a delay, and reckon with own sends since a report

Checked with a copy that logged each event and answer: usual clients fail only where the module turns away groups; it does so after a burst or a hang, when a crowd went to one server on the word of a report up to 1.5 s old, while others reported a load of 0.03 to 0.15. A hung server told no delay (its LOAD lines stop), a probe it left unanswered changed nothing, and the note that a server is back under was dropped. At fault: messageDelay (notes under HOT), full (the report alone), proceed (probe out), ClientLink's 5 s.

--- a/src/main/java/lemondeal/Logic.java
+++ b/src/main/java/lemondeal/Logic.java
@@ -51,6 +51,8 @@
   private static final double SHED_NEAR = 0.05;
   private static final double SHED_PAST = 0.1;
   private static final double SHED_FAR = 0.2;
+  /** The same where messages are hopelessly late: whoever stays there is served no more. */
+  private static final double SHED_LOST = 0.5;
   private static final double SHED_MOST = 0.8;
   /** Pause between two steps at one server: what left must first show in its delay. */
   private static final long SHED_PAUSE = 1_000_000;
@@ -69,10 +71,18 @@
   private static final double DROP_MOST = 0.9;
   /** The share is that of the class worth least; past 1 it still grows for the others. */
   private static final double DROP_SHARE_MOST = 3;
-  /** The share turned away halves in this once no step is taken: far slower than it grows. */
-  private static final long DROP_HALF_LIFE = 20_000_000;
+  /** The share turned away halves in this once no step is taken: slower than it grows, and a burst passes. */
+  private static final long DROP_HALF_LIFE = 8_000_000;
   /** Weight of the newest load in the mean of its class. */
   private static final double LOAD_GAIN = 0.05;
+  /** A server holds at least so many where the load of one connection is reckoned from its report. */
+  private static final double HELD_LEAST = 5;
+  /** Share of its capacity that a server which reported nothing lately is taken to have free. */
+  private static final double ROOM_UNKNOWN = 0.35;
+  private static final double ROOM_LEAST = 0.02;
+  /** What counts of a score where the server is hot, and where it failed lately. */
+  private static final double HOT_PART = 0.3;
+  private static final double STRUCK_PART = 0.1;
   /** A request waits this long at most for the answer to a probe; a few round trips. */
   private static final long PROBE_WAIT = 25_000;
   /** Set-ups slower than this many times the usual tell that all of them wait for something shared. */
@@ -151,7 +161,11 @@
     long loggedAt = NEVER;
     double demand = Double.NaN;
     long demandAt = NEVER;
+    /** Connections that it held by its last report, and those that this node sent it since. */
+    double held;
+    int sentSince;
     long probedAt = NEVER;
+    boolean probeOut;
     final Set<Flow> open = new LinkedHashSet<>();
     final List<Flow> awaiting = new ArrayList<>(0);
 
@@ -288,7 +302,8 @@
 
   /**
    * The first server of the flow's ranking that may be used. Passed-over servers come after all others
-   * and are still used where nothing else is left: a common fault must not empty the ranking.
+   * and are still used where nothing else is left: a common fault must not empty the ranking. Among them
+   * the ranking bends to the room that each has: by rank alone, a crowd that finds all full goes to one.
    */
   private Server choose(Flow flow) {
     boolean common = commonFault();
@@ -306,7 +321,7 @@
       if (best != null && passed && !bestPassed) {
         continue;
       }
-      double score = score(flow.groupHash, s.hash, s.weight * nearness(s));
+      double score = score(flow.groupHash, s.hash, s.weight * nearness(s)) * (passed ? roomPart(s) : 1);
       boolean better = best == null || (bestPassed && !passed) || score > bestScore
           || (score == bestScore && s.name.compareTo(best.name) < 0);
       if (better && coldAdmits(s)) {
@@ -438,7 +453,32 @@
 
   /** A server known to be at its limit takes none, and one lately over it goes without a share. */
   private boolean overfull(Server s, Flow flow) {
-    return full(s) || sheds(s, flow) || slowStarts(s, flow);
+    return full(s) || stalls(s) || sheds(s, flow) || slowStarts(s, flow);
+  }
+
+  /** A probe that is not answered when all others are tells of a server that hangs, before any set-up can. */
+  private boolean stalls(Server s) {
+    return s.probeOut && now - s.probedAt >= PROBE_WAIT;
+  }
+
+  /** How much a server that is passed over counts beside the others that are. */
+  private double roomPart(Server s) {
+    double room = reportHolds(s) ? Math.max(ROOM_LEAST, 1 - expectedDemand(s)) : ROOM_UNKNOWN;
+    return room * room * (now < s.hotUntil ? HOT_PART : 1) * (passedOver(s) ? STRUCK_PART : 1);
+  }
+
+  private boolean reportHolds(Server s) {
+    return now - s.demandAt < REPORT_FOR;
+  }
+
+  /**
+   * The load that a server reported and what has come to it since, by the load of a connection there and
+   * this node's own sends, which the others are taken to make too. Guards against a burst that all goes to
+   * one server on the word of a report from before it.
+   */
+  private double expectedDemand(Server s) {
+    double each = s.held > 0 ? s.demand / Math.max(HELD_LEAST, s.held) : 0;
+    return s.demand + each * s.sentSince * Math.max(1, settings.nodes());
   }
 
   /**
@@ -455,7 +495,7 @@
   }
 
   private boolean full(Server s) {
-    return now < s.hotUntil || (now - s.demandAt < REPORT_FOR && s.demand > FULL_DEMAND);
+    return now < s.hotUntil || (reportHolds(s) && expectedDemand(s) > FULL_DEMAND);
   }
 
   /** The share is cut by client, so that a client that comes again passes over the same servers. */
@@ -486,7 +526,13 @@
   private void messageDelay(MessageDelay event) {
     Server s = servers.get(event.server());
     double times = event.millis() / shortestAimMillis;
-    if (s == null || !(times >= HOT) || Double.isInfinite(times)) {
+    if (s == null || !(times >= 0) || Double.isInfinite(times)) {
+      return;
+    }
+    if (times < HOT) {
+      // The word that it is back under: a server that has recovered must not be left out any longer.
+      s.hotUntil = NEVER;
+      s.lateUntil = NEVER;
       return;
     }
     s.hotUntil = now + HOT_FOR;
@@ -500,7 +546,7 @@
     if (now - s.shedAt < SHED_PAUSE) {
       return;
     }
-    double step = times < 1 ? SHED_NEAR : times < 2 ? SHED_PAST : SHED_FAR;
+    double step = times < 1 ? SHED_NEAR : times < 2 ? SHED_PAST : times < FAR_LATE ? SHED_FAR : SHED_LOST;
     double before = shed(s);
     s.shed = Math.min(SHED_MOST, before + step * (1 - before));
     s.shedAt = now;
@@ -597,10 +643,17 @@
     if (s == null) {
       return;
     }
+    s.probeOut = false;
+    if (event.outcome() == Outcome.TIMED_OUT || event.outcome() == Outcome.NO_CONNECTION
+        || event.outcome() == Outcome.RESET) {
+      strike(s, EJECT_FIRST, "probe " + event.outcome());
+    }
     LoadReport report = event.report();
     if (report != null && report.demand() >= 0 && report.demand() < Double.POSITIVE_INFINITY) {
       s.demand = report.demand();
       s.demandAt = now;
+      s.held = report.held();
+      s.sentSince = 0;
     }
     List<Flow> awaiting = List.copyOf(s.awaiting);
     s.awaiting.clear();
@@ -721,6 +774,7 @@
     if (s != null && worthProbing(s, flow)) {
       flow.probes++;
       s.probedAt = now;
+      s.probeOut = true;
       s.awaiting.add(flow);
       out.add(new Probe(s.name));
       hold(flow, Math.min(left, PROBE_WAIT + ANSWER_LEAD));
@@ -741,6 +795,7 @@
     recentSends = 1 + sendsLately();
     recentAt = now;
     flow.tried.add(s);
+    s.sentSince++;
     flow.outstanding = true;
     setupsOut++;
     if (!flow.mayHaveRun) {
@@ -1055,6 +1110,7 @@
       s.strikes = 0;
       s.passUntil = NEVER;
       s.errorShare = 0;
+      s.probeOut = false;
       s.coldWindow = -1;
     }
   }
--- a/src/main/java/lemondeal/config/Limits.java
+++ b/src/main/java/lemondeal/config/Limits.java
@@ -21,6 +21,8 @@
  * @param firstLine a client that has not sent its first line by then is sent away: an end is owed to it within
  *     3 s of its connecting
  * @param silence a line unanswered this long tells that the server answers nothing any more
+ * @param unease a line unanswered this long is told as a delay
+ * @param moment after which a delay of the proxy's own making has passed
  * @param unanswered lines to a server whose answers are waited for at once
  * @param linger how long a closed side is still read, so that what was written to it arrives
  * @param moveWithin a move that finds no end of a line by then is made all the same
@@ -37,7 +39,7 @@
  */
 public record Limits(int lineBytes, int ringBytes, int listLineBytes, int turnBytes, int lingerBytes, int clients,
     int newcomers, int lingering, int accepted, long tick, int wheelSlots, long dial, long answerLead,
-    long firstLine, long silence, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe, long probeIdle, long watchSilence, long adoptPause,
+    long firstLine, long silence, long unease, long moment, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe, long probeIdle, long watchSilence, long adoptPause,
     long adoptFor, long throttleFor, long drainAccept, long drainMost) {
 
   private static final long MILLI = 1_000;
@@ -68,8 +70,8 @@
       throw new ConfigException("limits: " + sockets + " sockets and " + memoryMb + " MB leave no room for clients");
     }
     return new Limits(4096, RING_BYTES, 1 << 20, 64 * 1024, 64 * 1024, clients, newcomers, lingering,
-        2 * clients + idle, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 64, 500 * MILLI,
-        800 * MILLI, SECOND, 1.0 / 3, SECOND, keepalive, 3500 * MILLI, 250 * MILLI, 35 * SECOND, SECOND,
-        450 * MILLI, 3500 * MILLI);
+        2 * clients + idle, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 400 * MILLI,
+        30 * MILLI, 64, 500 * MILLI, 800 * MILLI, SECOND, 1.0 / 3, SECOND, keepalive, 3500 * MILLI, 250 * MILLI,
+        35 * SECOND, SECOND, 450 * MILLI, 3500 * MILLI);
   }
 }
--- a/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/src/main/java/lemondeal/proxy/ClientLink.java
@@ -54,7 +54,7 @@
     this.open = open;
     this.requestClass = requestClass;
     lines = new LineParser(context.limits().lineBytes());
-    unanswered = new Unanswered(context, link, () -> moveNow(Outcome.RESET));
+    unanswered = new Unanswered(context, link, this::waiting, () -> moveNow(Outcome.RESET));
   }
 
   /** The gate must have room. */
@@ -251,6 +251,10 @@
     execution.link().send(bytes);
   }
 
+  private void waiting(long micros) {
+    context.delays().measured(context.now(), id, execution.number(), execution.server(), micros);
+  }
+
   void lineFromServer(Execution from, ServerLine line) {
     if (line.kind() == ServerLine.Kind.LOAD) {
       note(from, line.number());
--- a/src/main/java/lemondeal/proxy/Unanswered.java
+++ b/src/main/java/lemondeal/proxy/Unanswered.java
@@ -1,25 +1,32 @@
 package lemondeal.proxy;
 
 import java.util.ArrayDeque;
+import java.util.function.LongConsumer;
 import lemondeal.net.Link;
 import lemondeal.net.Timers;
 
 /**
  * The lines of one client that its server has not answered yet. Guards against a server that was cut off: its
- * connection stays open and brings nothing.
+ * connection stays open and brings nothing. Long before that is certain, the waiting itself is told as a delay: a
+ * sound connection answers at once, and a server that hangs tells no delay of its own.
  */
 final class Unanswered {
   private final Context context;
   private final Link link;
+  private final LongConsumer waiting;
   private final Runnable silent;
   /** When they went out; bounded, since a client may send lines without end to a server that answers none. */
   private final ArrayDeque<Long> sent = new ArrayDeque<>();
   private Timers.Timer silence;
 
-  /** {@code silent} is run when the oldest line has waited too long. */
-  Unanswered(Context context, Link link, Runnable silent) {
+  /**
+   * @param waiting is told now and then how long the oldest line has waited, once that is long
+   * @param silent is run when it has waited too long
+   */
+  Unanswered(Context context, Link link, LongConsumer waiting, Runnable silent) {
     this.context = context;
     this.link = link;
+    this.waiting = waiting;
     this.silent = silent;
   }
 
@@ -45,8 +52,29 @@
   private void arm() {
     stop();
     if (!sent.isEmpty()) {
-      long waited = context.now() - sent.peek();
-      silence = link.after(context.limits().silence() - waited, silent);
+      silence = link.after(context.limits().unease() - waited(), this::uneasy);
+    }
+  }
+
+  private long waited() {
+    return context.now() - sent.peek();
+  }
+
+  /** Looks again a moment later: after a pause of the proxy itself the answer may be there, only not read. */
+  private void uneasy() {
+    silence = link.after(context.limits().moment(), this::tell);
+  }
+
+  private void tell() {
+    long waited = waited();
+    if (waited >= context.limits().silence()) {
+      silent.run();
+      return;
+    }
+    waiting.accept(waited);
+    if (!sent.isEmpty()) {
+      long next = Math.min(context.limits().silence() - waited, context.limits().noteEvery());
+      silence = link.after(next - context.limits().moment(), this::uneasy);
     }
   }
 
--- a/src/test/java/lemondeal/DeparturesTest.java
+++ b/src/test/java/lemondeal/DeparturesTest.java
@@ -132,6 +132,33 @@
     assertEquals(server, node.open("b", "c", "g"));
   }
 
+  /** A server that had recovered was once left out for as long as one that had not. */
+  @Test
+  void aServerThatIsBackUnderTakesClientsAtOnce() {
+    Node node = new Node().fleet(5);
+    String server = node.open("a", "c", "g");
+    node.open("o1", "o1", "o1");
+    node.late("a", server, 55);
+    assertNotEquals(server, node.open("b", "d", "g"));
+    node.late("a", server, 20);
+    assertEquals(server, node.open("c", "e", "g"));
+  }
+
+  /** Messages that take seconds are worth nothing: a fifth of the clients at a time left far too slowly. */
+  @Test
+  void aHopelesslyLateServerShedsHalfAtOnce() {
+    Node node = new Node().fleet(5);
+    String server = null;
+    for (int i = 0; i < 200; i++) {
+      server = node.open("r" + i, "c" + i, "g");
+    }
+    for (int i = 0; i < 40; i++) {
+      node.open("o" + i, "o" + i, "o" + i);
+    }
+    int moves = Node.only(node.late("r0", server, 1_500), Move.class).size();
+    assertTrue(moves > 65 && moves < 135, moves + " moves of 200");
+  }
+
   @Test
   void absurdDelaysAreDropped() {
     for (double millis : new double[] {Double.NaN, -5, Double.POSITIVE_INFINITY}) {
@@ -263,6 +290,50 @@
     assertNotNull(Node.sentTo(node.pass(Node.SECOND), "r"));
   }
 
+  /** A probe that stayed unanswered once said nothing: the client was sent there all the same. */
+  @Test
+  void aServerThatAnswersNoProbeIsPassedOver() {
+    Node.With with = new Node.With();
+    with.probes = true;
+    Node node = new Node(with).fleet(3);
+    List<Action> actions = node.take(new Arrived(node.request("r", "c", "g")));
+    String probed = Node.only(actions, Probe.class).get(0).server();
+    String second = Node.only(node.pass(Node.SECOND / 10), Probe.class).get(0).server();
+    assertNotEquals(probed, second);
+    node.take(new ProbeResult(second, Outcome.SERVED, 1_000, report(0.2)));
+    node.take(new ProbeResult(probed, Outcome.TIMED_OUT, 200_000, null));
+    actions = node.take(new Arrived(node.request("s", "c", "g")));
+    assertEquals(second, Node.sentTo(actions, "s"));
+  }
+
+  /** A burst once went to one server, all of it on the word of a report from before the burst. */
+  @Test
+  void whatWasSentSinceTheReportCounts() {
+    Node.With with = new Node.With();
+    with.probes = true;
+    Node node = new Node(with).fleet(2);
+    String first = Node.only(node.take(new Arrived(node.request("r", "c", "g"))), Probe.class).get(0).server();
+    node.take(new ProbeResult(first, Outcome.SERVED, 1_000, report(0.5, 10)));
+    String last = null;
+    for (int i = 0; i < 4; i++) {
+      last = node.arrive("r" + i, "c" + i, "g");
+    }
+    assertNotEquals(first, last, "0.5 and four connections of 0.05 each are over the limit");
+  }
+
+  /** Where all servers are full, one that has a little room goes before one that has none. */
+  @Test
+  void amongFullServersTheOneWithRoomIsTaken() {
+    Node.With with = new Node.With();
+    with.probes = true;
+    Node node = new Node(with).fleet(2);
+    String first = Node.only(node.take(new Arrived(node.request("r", "c", "g"))), Probe.class).get(0).server();
+    List<Action> actions = node.take(new ProbeResult(first, Outcome.SERVED, 1_000, report(0.99)));
+    String second = Node.only(actions, Probe.class).get(0).server();
+    actions = node.take(new ProbeResult(second, Outcome.SERVED, 1_000, report(0.7)));
+    assertEquals(second, Node.sentTo(actions, "r"));
+  }
+
   @Test
   void absurdReportsAreDropped() {
     for (double demand : new double[] {Double.NaN, -1, Double.POSITIVE_INFINITY}) {
@@ -277,7 +348,11 @@
   }
 
   private static LoadReport report(double demand) {
-    return new LoadReport(demand, Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+    return report(demand, Double.NaN);
+  }
+
+  private static LoadReport report(double demand, double held) {
+    return new LoadReport(demand, Double.NaN, held, Double.NaN, Double.NaN);
   }
 
   // ---- Set-up window: no retry storm
--- a/src/test/java/lemondeal/proxy/ProxyTest.java
+++ b/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -250,6 +250,20 @@
     }
   }
 
+  /** The module once heard nothing of a server that hangs until its clients were moved, 5 s later. */
+  @Test
+  void aGrowingSilenceIsToldAsADelay() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      client.send("anyone there?\r\n");
+      double first = site.await(MessageDelay.class).millis();
+      assertTrue(first >= 400 && site.await(MessageDelay.class).millis() >= first + 900, "first told after " + first);
+      server.send("here\r\n");
+      assertEquals("here", client.line());
+    }
+  }
+
   @Test
   void aSilentServerHasItsClientMoved() throws Exception {
     try (Site site = new Site(ProxyTest::sendOnce)) {
