Spread the moves of a stop over the time that it has

Checked: both proxies are restarted then; each sent all its clients away in one moment, and the set-ups of half of all clients queued together behind the session store and the servers. Ruled out: discovery's new addresses (watched within a tick of each SIGHUP) and the start (ready in 0.8 to 1.2 s). At fault: Proxy.moveAll, which moved all at 0.45 s of the 3.7 s that a stop has at least. Now: moved step by step over 2.15 s, less where the longest deadline is shorter.

--- a/src/main/java/lemondeal/config/Config.java
+++ b/src/main/java/lemondeal/config/Config.java
@@ -65,7 +65,8 @@
         new Names(names(settings.parts("profiles")), texts(settings.list("azs")), texts(settings.list("flavors"))),
         family.flag("tellsDelay") && !family.flag("tellsLoad"),
         Limits.of((int) limits.whole("sockets", DEFAULT_SOCKETS), (int) limits.whole("memory_mb", DEFAULT_MEMORY_MB),
-            permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE)));
+            permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE),
+            longestDeadline(settings.parts("profiles"))));
   }
 
   /**
@@ -105,6 +106,14 @@
     }
   }
 
+  private static long longestDeadline(List<Part> classes) {
+    long longest = 0;
+    for (Part part : classes) {
+      longest = Math.max(longest, part.whole("hardLimit"));
+    }
+    return longest;
+  }
+
   private static List<String> names(List<Part> parts) {
     List<String> names = new ArrayList<>();
     for (Part part : parts) {
--- a/src/main/java/lemondeal/proxy/Proxy.java
+++ b/src/main/java/lemondeal/proxy/Proxy.java
@@ -19,6 +19,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
@@ -118,11 +119,24 @@
     net.stopListening();
     // What was written last must still arrive before the process ends.
     gate.close(() -> wheel.after(limits.linger(), stopped::countDown));
-    for (ClientLink client : requests.all()) {
+    ArrayDeque<ClientLink> clients = new ArrayDeque<>(requests.all());
+    if (clients.isEmpty()) {
+      stopped.countDown();
+    }
+    moveNext(clients, (int) (clients.size() * limits.drainStep() / limits.drainSpread()) + 1);
+  }
+
+  /**
+   * Moves a few clients, and the others step by step. Guards the other proxies, their servers and what stands
+   * behind set-ups against a crowd: clients that are moved come again within a moment, all of them together.
+   */
+  private void moveNext(ArrayDeque<ClientLink> clients, int each) {
+    for (int i = 0; i < each && !clients.isEmpty(); i++) {
+      ClientLink client = clients.poll();
       client.link().guarded(client::move);
     }
-    if (requests.isEmpty()) {
-      stopped.countDown();
+    if (!clients.isEmpty()) {
+      wheel.after(limits.drainStep(), () -> moveNext(clients, each));
     }
   }
 
--- a/src/test/java/lemondeal/config/ConfigTest.java
+++ b/src/test/java/lemondeal/config/ConfigTest.java
@@ -57,7 +57,7 @@
   @Test
   void aThirdOfTheDescriptorsHoldsClientsAndNeverAreThereTooFew() {
     for (int sockets : new int[] {256, 384, 612, 1024}) {
-      Limits limits = Limits.of(sockets, 144, 150_000, 5_000_000);
+      Limits limits = Limits.of(sockets, 144, 150_000, 5_000_000, 2_000_000);
       assertTrue(limits.clients() >= sockets / 3, "clients " + limits.clients() + " of " + sockets);
       assertTrue(limits.accepted() >= 2 * limits.clients() + limits.newcomers() + limits.lingering());
       assertTrue(limits.accepted() <= sockets - 40, "room for files, probes and lists");
--- a/src/test/java/lemondeal/net/LinkTest.java
+++ b/src/test/java/lemondeal/net/LinkTest.java
@@ -23,7 +23,7 @@
 /** Links on loopback, with peers that send more than is good. */
 @Timeout(30)
 class LinkTest {
-  private final Limits limits = Limits.of(1024, 192, 500_000, 5_000_000);
+  private final Limits limits = Limits.of(1024, 192, 500_000, 5_000_000, 2_000_000);
   private final BlockingQueue<Link> accepted = new LinkedBlockingQueue<>();
   private Net net;
 
--- a/src/test/java/lemondeal/proxy/ProxyTest.java
+++ b/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -1,5 +1,6 @@
 package lemondeal.proxy;
 
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
@@ -336,6 +337,31 @@
     }
   }
 
+  /** All clients once came again together, and waited for each other's set-ups at the other proxies. */
+  @Test
+  void aStopMovesClientsOneAfterTheOther() throws Exception {
+    int count = 20;
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      List<Peer> clients = new ArrayList<>();
+      for (int i = 0; i < count; i++) {
+        clients.add(site.client(OPEN));
+        up(site, clients.get(i));
+      }
+      Thread stop = new Thread(() -> assertDoesNotThrow(site.proxy::stop));
+      long from = System.nanoTime();
+      stop.start();
+      assertEquals("MOVE", clients.get(0).line());
+      long first = System.nanoTime() - from;
+      for (Peer client : clients.subList(1, count)) {
+        assertEquals("MOVE", client.line());
+      }
+      long spread = System.nanoTime() - from - first;
+      assertTrue(spread > site.limits().drainSpread() * 1000 / 2, "all within " + spread / 1_000_000 + " ms");
+      stop.join();
+      assertTrue(System.nanoTime() - from < (site.limits().drainMost() + 200_000) * 1000, "the stop took too long");
+    }
+  }
+
   @Test
   void stopsPolitely() throws Exception {
     try (Site site = new Site(ProxyTest::sendOnce)) {
