Move clients as late in a stop as can be, and serve them until then

Now: 1.5 s for the moves, at the end of what the longest deadline allows; listening ends at 0.45 s as before.

--- a/src/main/java/lemondeal/config/Limits.java
+++ b/src/main/java/lemondeal/config/Limits.java
@@ -35,6 +35,7 @@
  * @param adoptFor how long it is tried
  * @param throttleFor when a client is to come again that was throttled for want of room
  * @param drainAccept how long connections still come after the order to stop
+ * @param drainHold how long after it clients stay where they are
  * @param drainStep between two steps in which clients are moved at a stop
  * @param drainSpread how long moving them all takes
  * @param drainMost the longest that a stop may take
@@ -42,7 +43,7 @@
 public record Limits(int lineBytes, int ringBytes, int listLineBytes, int turnBytes, int lingerBytes, int clients,
     int newcomers, int lingering, int accepted, long tick, int wheelSlots, long dial, long answerLead,
     long firstLine, long silence, long unease, long moment, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe, long probeIdle, long watchSilence, long adoptPause,
-    long adoptFor, long throttleFor, long drainAccept, long drainStep, long drainSpread, long drainMost) {
+    long adoptFor, long throttleFor, long drainAccept, long drainHold, long drainStep, long drainSpread, long drainMost) {
 
   private static final long MILLI = 1_000;
   private static final long SECOND = 1_000_000;
@@ -66,13 +67,16 @@
   private static final long DRAIN_ACCEPT = 450 * MILLI;
   private static final long LINGER = 500 * MILLI;
   /** Kept back at a stop for the last client's line to end. */
-  private static final long DRAIN_SPARE = 400 * MILLI;
+  private static final long DRAIN_SPARE = 300 * MILLI;
   private static final long DRAIN_STEP = 50 * MILLI;
+  /** Clients are moved over this long, as late as can be: until then they are served. */
+  private static final long DRAIN_SPREAD = 1500 * MILLI;
 
   /** Derives the counts from what the machine allows, and the times of a stop from the longest deadline. */
   public static Limits of(int sockets, int memoryMb, long dialTimeout, long keepalive, long longestDeadline) {
     long drainMost = Math.min(DRAIN_DEADLINE, longestDeadline) + DRAIN_MORE;
-    long drainSpread = Math.max(DRAIN_STEP, drainMost - DRAIN_ACCEPT - LINGER - DRAIN_SPARE);
+    long drainMoves = Math.max(DRAIN_STEP, drainMost - DRAIN_ACCEPT - LINGER - DRAIN_SPARE);
+    long drainSpread = Math.min(DRAIN_SPREAD, drainMoves);
     int idle = IDLE_LEAST + Math.max(0, sockets - SMALLEST) / IDLE_PART;
     int lingering = idle / 3;
     int newcomers = idle - lingering - ACCEPT_SLACK;
@@ -85,6 +89,7 @@
     return new Limits(4096, RING_BYTES, 1 << 20, 64 * 1024, 64 * 1024, clients, newcomers, lingering,
         2 * clients + idle, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 400 * MILLI,
         30 * MILLI, 64, LINGER, 800 * MILLI, SECOND, 1.0 / 3, SECOND, keepalive, 3500 * MILLI, 250 * MILLI,
-        35 * SECOND, SECOND, DRAIN_ACCEPT, DRAIN_STEP, drainSpread, drainMost);
+        35 * SECOND, SECOND, DRAIN_ACCEPT, drainMoves - drainSpread,
+        DRAIN_STEP, drainSpread, drainMost);
   }
 }
--- a/src/main/java/lemondeal/proxy/Proxy.java
+++ b/src/main/java/lemondeal/proxy/Proxy.java
@@ -103,7 +103,7 @@
   public void stop() throws InterruptedException {
     net.later(() -> {
       gate.close(() -> { });
-      wheel.after(limits.drainAccept(), this::moveAll);
+      wheel.after(limits.drainAccept(), this::acceptNoMore);
       wheel.after(limits.drainMost(), stopped::countDown);
     });
     stopped.await();
@@ -115,8 +115,13 @@
     net.shutdown();
   }
 
-  private void moveAll() {
+  /** Clients are served on for a while: other proxies may be on their way back from a stop of their own. */
+  private void acceptNoMore() {
     net.stopListening();
+    wheel.after(requests.isEmpty() ? 0 : limits.drainHold(), this::moveAll);
+  }
+
+  private void moveAll() {
     // What was written last must still arrive before the process ends.
     gate.close(() -> wheel.after(limits.linger(), stopped::countDown));
     ArrayDeque<ClientLink> clients = new ArrayDeque<>(requests.all());
--- a/src/test/java/lemondeal/config/ConfigTest.java
+++ b/src/test/java/lemondeal/config/ConfigTest.java
@@ -53,6 +53,18 @@
     assertThrows(ConfigException.class, () -> Config.read(Map.of()));
   }
 
+  /** A stop must be over before the proxy is killed: 0.7 s after the longest deadline, counted as 3 s at most. */
+  @Test
+  void aStopEndsInTimeAndMovesLate() {
+    for (long deadline : new long[] {1_000_000, 2_000_000, 3_000_000, 4_800_000}) {
+      Limits limits = Limits.of(1024, 192, 150_000, 5_000_000, deadline);
+      long moved = limits.drainAccept() + limits.drainHold() + limits.drainSpread();
+      assertTrue(moved + limits.linger() < limits.drainMost(), "moved after " + moved);
+      assertTrue(limits.drainMost() <= Math.min(deadline, 3_000_000) + 500_000);
+    }
+    assertTrue(Limits.of(1024, 192, 150_000, 5_000_000, 4_800_000).drainHold() > 500_000, "served meanwhile");
+  }
+
   /** Usual clients may hold a third of the descriptors, and every one of theirs needs another to its server. */
   @Test
   void aThirdOfTheDescriptorsHoldsClientsAndNeverAreThereTooFew() {
