Let a bounded number of connections in for one turn

Checked: no log line and no failure; a stop with silent, half-sent and half-closed connections does not spin (CPU of the I/O thread sampled through a stop, seven variants); the wheel, the rings and the crowds end their loops. Concluded by reading, not caught in the act: Net.accept went on while there was one more, and clients that come again at once are always one more. At fault: Net.accept's loop. A first try left connections with the library, whose task then calls again without end (30 s of CPU, nothing served): all are taken from it now, and 32 let in a turn. Also: a client moved on the word of its own silence had its timer run on, which failed later on; reading is not resumed on a side that has ended.

--- a/src/main/java/lemondeal/config/Limits.java
+++ b/src/main/java/lemondeal/config/Limits.java
@@ -14,6 +14,8 @@
  *     and two more for each that is not; beyond, the oldest goes
  * @param lingering closed sides still read at once; beyond, the oldest goes
  * @param accepted connections accepted at once, of whatever kind
+ * @param accepts connections accepted before those that are open have their turn
+ * @param acceptPause how long they have it
  * @param tick of the timer wheel
  * @param wheelSlots in the timer wheel
  * @param dial a connection not up by then could not be had
@@ -41,7 +43,7 @@
  * @param drainMost the longest that a stop may take
  */
 public record Limits(int lineBytes, int ringBytes, int listLineBytes, int turnBytes, int lingerBytes, int clients,
-    int newcomers, int lingering, int accepted, long tick, int wheelSlots, long dial, long answerLead,
+    int newcomers, int lingering, int accepted, int accepts, long acceptPause, long tick, int wheelSlots, long dial, long answerLead,
     long firstLine, long silence, long unease, long moment, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe, long probeIdle, long watchSilence, long adoptPause,
     long adoptFor, long throttleFor, long drainAccept, long drainHold, long drainStep, long drainSpread, long drainMost) {
 
@@ -87,7 +89,7 @@
       throw new ConfigException("limits: " + sockets + " sockets and " + memoryMb + " MB leave no room for clients");
     }
     return new Limits(4096, RING_BYTES, 1 << 20, 64 * 1024, 64 * 1024, clients, newcomers, lingering,
-        2 * clients + idle, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 400 * MILLI,
+        2 * clients + idle, 32, MILLI, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 400 * MILLI,
         30 * MILLI, 64, LINGER, 800 * MILLI, SECOND, 1.0 / 3, SECOND, keepalive, 3500 * MILLI, 250 * MILLI,
         35 * SECOND, SECOND, DRAIN_ACCEPT, drainMoves - drainSpread,
         DRAIN_STEP, drainSpread, drainMost);
--- a/src/main/java/lemondeal/net/Link.java
+++ b/src/main/java/lemondeal/net/Link.java
@@ -113,7 +113,7 @@
 
   /** Reads on, after the owner had no room. */
   public void resume() {
-    if (!closed) {
+    if (!closed && !otherEnded) {
       source.resumeReads();
       // Bytes that came while the reading was suspended bring no word of their own from some selectors.
       source.wakeupReads();
--- a/src/main/java/lemondeal/net/Net.java
+++ b/src/main/java/lemondeal/net/Net.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
@@ -34,6 +35,8 @@
   private final Crowd<Link> lingering;
   private Timers timers;
   private AcceptingChannel<StreamConnection> server;
+  private final ArrayDeque<StreamConnection> waiting = new ArrayDeque<>();
+  private boolean admitting;
 
   public Net(Limits limits, Faults faults) throws IOException {
     this.limits = limits;
@@ -97,21 +100,42 @@
     server = null;
   }
 
+  /**
+   * Takes what the library has accepted; it would call again without end for what is left with it. Bounded, as
+   * its count of open connections is.
+   */
   private void accept(Consumer<Link> accepted) {
     try {
-      while (server != null) {
-        StreamConnection connection = server.accept();
-        if (connection == null) {
-          return;
-        }
-        Link link = new Link(this, connection);
-        link.guarded(() -> accepted.accept(link));
+      for (StreamConnection next = nextAccepted(); next != null; next = nextAccepted()) {
+        waiting.add(next);
       }
     } catch (IOException e) {
       // Out of descriptors, say: connections wait in the system's queue and are tried again.
       server.suspendAccepts();
       laterBy(limits.linger(), this::resumeAccepts);
     }
+    if (!admitting) {
+      admit(accepted);
+    }
+  }
+
+  private StreamConnection nextAccepted() throws IOException {
+    return server == null ? null : server.accept();
+  }
+
+  /**
+   * Lets connections in for one turn, and the others in later turns. Guards against clients that come again as soon
+   * as they are turned away: there was always one more, and open connections were not read meanwhile.
+   */
+  private void admit(Consumer<Link> accepted) {
+    for (int i = 0; i < limits.accepts() && !waiting.isEmpty(); i++) {
+      Link link = new Link(this, waiting.poll());
+      link.guarded(() -> accepted.accept(link));
+    }
+    admitting = !waiting.isEmpty();
+    if (admitting) {
+      laterBy(limits.acceptPause(), () -> admit(accepted));
+    }
   }
 
   private void resumeAccepts() {
--- a/src/main/java/lemondeal/proxy/Unanswered.java
+++ b/src/main/java/lemondeal/proxy/Unanswered.java
@@ -18,6 +18,7 @@
   /** When they went out; bounded, since a client may send lines without end to a server that answers none. */
   private final ArrayDeque<Long> sent = new ArrayDeque<>();
   private Timers.Timer silence;
+  private boolean stopped;
 
   /**
    * @param waiting is told now and then how long the oldest line has waited, once that is long
@@ -50,7 +51,7 @@
   }
 
   private void arm() {
-    stop();
+    Timers.cancel(silence);
     if (!sent.isEmpty()) {
       silence = link.after(context.limits().unease() - waited(), this::uneasy);
     }
@@ -72,13 +73,15 @@
       return;
     }
     waiting.accept(waited);
-    if (!sent.isEmpty()) {
+    // What was told may have moved this very client.
+    if (!stopped && !sent.isEmpty()) {
       long next = Math.min(context.limits().silence() - waited, context.limits().noteEvery());
       silence = link.after(next - context.limits().moment(), this::uneasy);
     }
   }
 
   void stop() {
+    stopped = true;
     Timers.cancel(silence);
   }
 }
--- a/src/test/java/lemondeal/net/LinkTest.java
+++ b/src/test/java/lemondeal/net/LinkTest.java
@@ -1,6 +1,8 @@
 package lemondeal.net;
 
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.lang.management.BufferPoolMXBean;
@@ -12,6 +14,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lemondeal.config.Limits;
@@ -25,6 +28,7 @@
 class LinkTest {
   private final Limits limits = Limits.of(1024, 192, 500_000, 5_000_000, 2_000_000);
   private final BlockingQueue<Link> accepted = new LinkedBlockingQueue<>();
+  private volatile Runnable onAccept = () -> { };
   private Net net;
 
   /** Counts what comes before the I/O thread turns to its next task. */
@@ -68,7 +72,10 @@
   void listen() throws Exception {
     net = new Net(limits, new Faults(System.err));
     net.run(() -> {
-      net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), accepted::add);
+      net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), link -> {
+        accepted.add(link);
+        onAccept.run();
+      });
       return null;
     });
   }
@@ -104,6 +111,31 @@
     }
   }
 
+  /** Clients that came again at once kept the I/O thread accepting: open connections were not read meanwhile. */
+  @Test
+  void oneTurnAcceptsABoundedPart() throws Exception {
+    int count = 4 * limits.accepts();
+    CountDownLatch come = new CountDownLatch(1);
+    BlockingQueue<Integer> firstTurn = new LinkedBlockingQueue<>();
+    List<SocketChannel> peers = new ArrayList<>();
+    onAccept = () -> net.later(() -> firstTurn.add(accepted.size()));
+    net.later(() -> assertDoesNotThrow(() -> come.await(10, TimeUnit.SECONDS)));
+    try {
+      for (int i = 0; i < count; i++) {
+        peers.add(SocketChannel.open(net.localAddress()));
+      }
+      come.countDown();
+      assertTrue(firstTurn.poll(10, TimeUnit.SECONDS) <= limits.accepts());
+      for (int i = 0; i < count; i++) {
+        assertNotNull(next(), "all are accepted in the end");
+      }
+    } finally {
+      for (SocketChannel peer : peers) {
+        peer.close();
+      }
+    }
+  }
+
   /** A ring for each accepted connection was memory for whoever says nothing. */
   @Test
   void aLinkThatHasNothingToSendHoldsNoRing() throws Exception {
--- a/src/test/java/lemondeal/proxy/ProxyTest.java
+++ b/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -7,8 +7,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
@@ -265,6 +267,22 @@
     }
   }
 
+  /** The word on a silence may move the very client that waits: its timer once ran on and failed. */
+  @Test
+  void aClientMovedForASilenceIsLeftAlone() throws Exception {
+    ByteArrayOutputStream log = new ByteArrayOutputStream();
+    try (Site site = new Site(and(MessageDelay.class, e -> new Move(e.id())), new PrintStream(log, true))) {
+      Peer client = site.client(OPEN);
+      up(site, client);
+      client.send("anyone there?\r\n");
+      assertEquals("MOVE", client.line());
+      site.await(Ended.class);
+      Peer other = site.client("c=chat,d=1900");
+      assertEquals("BUSY 250", other.line(), "the time that the timer would have taken has passed");
+      assertEquals("", log.toString());
+    }
+  }
+
   @Test
   void aSilentServerHasItsClientMoved() throws Exception {
     try (Site site = new Site(ProxyTest::sendOnce)) {
--- a/src/test/java/lemondeal/proxy/Site.java
+++ b/src/test/java/lemondeal/proxy/Site.java
@@ -94,6 +94,14 @@
   }
 
   Site(Function<Event, List<Action>> script, String family, int sockets) throws IOException {
+    this(script, family, sockets, System.err);
+  }
+
+  Site(Function<Event, List<Action>> script, PrintStream log) throws IOException {
+    this(script, "", 1024, log);
+  }
+
+  private Site(Function<Event, List<Action>> script, String family, int sockets, PrintStream log) throws IOException {
     file = Files.createTempFile("lemondeal", ".json");
     Files.writeString(file, config(family, sockets));
     Balancer module = (now, event) -> {
@@ -101,7 +109,7 @@
       return script.apply(event);
     };
     config = Config.read(Map.of("GW_CONFIG", file.toString()));
-    proxy = new Proxy(config, module, new PrintStream(System.err));
+    proxy = new Proxy(config, module, log);
     proxy.start();
   }
 
