--- a/src/test/java/lemondeal/DeparturesTest.java
+++ b/src/test/java/lemondeal/DeparturesTest.java
@@ -101,9 +101,8 @@
 
   // ---- Bounded load
 
-  @Test
-  void aHotServerIsPassedOverByNewClientsAndShedsAShare() {
-    Node node = new Node().fleet(5);
+  /** Opens 200 clients of one group at one server, which is returned, and others so that all servers have some. */
+  private static String crowded(Node node) {
     String server = null;
     for (int i = 0; i < 200; i++) {
       server = node.open("r" + i, "c" + i, "g");
@@ -111,6 +110,13 @@
     for (int i = 0; i < 40; i++) {
       node.open("o" + i, "o" + i, "o" + i);
     }
+    return server;
+  }
+
+  @Test
+  void aHotServerIsPassedOverByNewClientsAndShedsAShare() {
+    Node node = new Node().fleet(5);
+    String server = crowded(node);
     List<Action> actions = node.late("r0", server, 150);
     int moves = Node.only(actions, Move.class).size();
     // One step sheds a tenth of the clients: five standard deviations of the binomial around 20.
@@ -148,13 +154,7 @@
   @Test
   void aHopelesslyLateServerShedsHalfAtOnce() {
     Node node = new Node().fleet(5);
-    String server = null;
-    for (int i = 0; i < 200; i++) {
-      server = node.open("r" + i, "c" + i, "g");
-    }
-    for (int i = 0; i < 40; i++) {
-      node.open("o" + i, "o" + i, "o" + i);
-    }
+    String server = crowded(node);
     int moves = Node.only(node.late("r0", server, 1_500), Move.class).size();
     assertTrue(moves > 65 && moves < 135, moves + " moves of 200");
   }
@@ -163,13 +163,7 @@
   @Test
   void aNoteThatComesAMomentEarlyIsHeard() {
     Node node = new Node().fleet(5);
-    String server = null;
-    for (int i = 0; i < 200; i++) {
-      server = node.open("r" + i, "c" + i, "g");
-    }
-    for (int i = 0; i < 40; i++) {
-      node.open("o" + i, "o" + i, "o" + i);
-    }
+    String server = crowded(node);
     int left = 200;
     for (int step = 0; step < 12; step++) {
       int moves = Node.only(node.late("r0", server, 2_000), Move.class).size();
@@ -218,6 +212,10 @@
   private static Node overloaded(long seed) {
     Node.With with = new Node.With();
     with.seed = seed;
+    return overloaded(with);
+  }
+
+  private static Node overloaded(Node.With with) {
     Node node = new Node(with).fleet(3);
     String[] servers = new String[30];
     for (int i = 0; i < 30; i++) {
@@ -236,17 +234,7 @@
   void theClassWhoseWorkIsWorthLeastIsTurnedAwayFirst() {
     Node.With with = new Node.With();
     with.secondClassWorth = 9;
-    Node node = new Node(with).fleet(3);
-    String[] servers = new String[30];
-    for (int i = 0; i < 30; i++) {
-      servers[i] = node.open("r" + i, "c" + i, "h" + i);
-    }
-    for (int step = 0; step < 4; step++) {
-      for (int i = 0; i < 30; i++) {
-        node.late("r" + i, servers[i], 300);
-      }
-      node.pass(Node.SECOND);
-    }
+    Node node = overloaded(with);
     int[] away = new int[2];
     for (int c = 0; c < 2; c++) {
       for (int i = 0; i < 200; i++) {
