--- a/src/main/java/lemondeal/Logic.java
+++ b/src/main/java/lemondeal/Logic.java
@@ -2,6 +2,11 @@
 
 // The interface of this module (settings, events, actions) is the file Balancer.java beside this one.
 
+import static lemondeal.Rendezvous.hash;
+import static lemondeal.Rendezvous.mix;
+import static lemondeal.Rendezvous.score;
+import static lemondeal.Rendezvous.unit;
+
 import lemondeal.Balancer.*;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -276,35 +281,6 @@
 
   // ---- Ranking -------------------------------------------------------------------------------
 
-  /** FNV-1a over the characters, then a finalizer, so that near-alike ids get unrelated hashes. */
-  static long hash(String text) {
-    long h = 0xcbf29ce484222325L;
-    for (int i = 0; i < text.length(); i++) {
-      h = (h ^ text.charAt(i)) * 0x100000001b3L;
-    }
-    return mix(h);
-  }
-
-  /** The finalizer of SplitMix64: every input bit reaches every output bit. */
-  static long mix(long h) {
-    h = (h ^ (h >>> 30)) * 0xbf58476d1ce4e5b9L;
-    h = (h ^ (h >>> 27)) * 0x94d049bb133111ebL;
-    return h ^ (h >>> 31);
-  }
-
-  /**
-   * A hash as a number strictly between 0 and 1, so that its logarithm is finite and not zero. Of 52 bits:
-   * with 53 the largest hash would round to 1.
-   */
-  static double unit(long h) {
-    return ((h >>> 12) + 0.5) * 0x1.0p-52;
-  }
-
-  /** The design's score, -w / log(Hash(O, S) / Hmax). */
-  static double score(long keyHash, long serverHash, double weight) {
-    return -weight / StrictMath.log(unit(mix(keyHash ^ serverHash)));
-  }
-
   /**
    * The first server of the flow's ranking that may be used. Passed-over servers come after all others
    * and are still used where nothing else is left: a common fault must not empty the ranking. Among them
@@ -610,7 +586,8 @@
   }
 
   private boolean turnedAway(Flow flow) {
-    return dropped > 0 && unit(mix(flow.groupHash)) < Math.min(DROP_MOST, dropShare() * cheapness(flow));
+    return dropped > 0
+        && unit(mix(flow.groupHash)) < Math.min(DROP_MOST, dropShare() * cheapness(flow));
   }
 
   /** 1 for the class whose work is worth least, less for others: they are turned away later. */
--- a/src/test/java/lemondeal/RankingTest.java
+++ b/src/test/java/lemondeal/RankingTest.java
@@ -59,7 +59,7 @@
   void hashIsUniformOverLikeIds() {
     int[] buckets = new int[64];
     for (int i = 0; i < KEYS; i++) {
-      buckets[(int) (Logic.unit(Logic.mix(Logic.hash(String.format("%016x", i)) ^ Logic.hash("s"))) * 64)]++;
+      buckets[(int) (Rendezvous.unit(Rendezvous.mix(Rendezvous.hash(String.format("%016x", i)) ^ Rendezvous.hash("s"))) * 64)]++;
     }
     double chi = 0;
     for (int n : buckets) {
@@ -72,8 +72,8 @@
   @Test
   void unitStaysInsideTheOpenInterval() {
     for (long h : new long[] {0, -1, 1, Long.MIN_VALUE, Long.MAX_VALUE}) {
-      assertTrue(Logic.unit(h) > 0 && Logic.unit(h) < 1);
-      assertTrue(Double.isFinite(StrictMath.log(Logic.unit(h))));
+      assertTrue(Rendezvous.unit(h) > 0 && Rendezvous.unit(h) < 1);
+      assertTrue(Double.isFinite(StrictMath.log(Rendezvous.unit(h))));
     }
   }
 
