Answer ready and show-stat on a second address, and take an inherited listener

Upgrades are asked for by `ready`, so this comes first.

`admin` owns the calls, `figures` the counters; Proxy is what they ask (Admin.Subject). Counted at one place each: UP in ClientLink.up, BUSY and ERR in FinalAnswer, through which Newcomer goes too, an attempt when Execution sees its line flushed. in_flight is asked of the slot table and servers_excluded of the module (Balancer.standing), so that no second reckoning can differ. Ready: discovery has told a list, or none came for 3 s and the list from before must do. Listening alone was said at once, before any list.

Listener: XNIO binds every listener itself. OpenListener, one class in its package, hands an open socket to its own NioTcpServer and has it accept on the I/O thread. Not taken: accepting by java.nio beside XNIO, which needs a selector thread and conduits of our own; and the library's queued server, whose acceptor thread takes connections ahead into a queue that can't be emptied at a stop. Net.waiting and the pause between accepts are gone with it, as the selector comes round to all open connections between two turns of 32 accepts.

--- a/src/main/java/lemondeal/Balancer.java
+++ b/src/main/java/lemondeal/Balancer.java
@@ -14,6 +14,15 @@
   /** Takes one event and returns what is to be done, possibly nothing. */
   List<Action> on(long now, Event event);
 
+  /** How this instance stands to the servers of its list; asking changes nothing. */
+  Standing standing(long now);
+
+  /**
+   * {@code listed}: discovery itself has told a list since the start. {@code known} servers are in the list, and
+   * {@code avoided} of them get no new client on the ordinary path now.
+   */
+  record Standing(boolean listed, int known, int avoided) {}
+
   // ---- Settings ------------------------------------------------------------------------------
 
   /** What repeating a request of a class may do. */
--- a/src/main/java/lemondeal/Logic.java
+++ b/src/main/java/lemondeal/Logic.java
@@ -226,6 +226,8 @@
   private final Map<Long, String> held = new HashMap<>();
   private long nextToken = TOKEN_FIRST_REQUEST;
   private boolean subscribed;
+  /** Whether discovery has told a list since the start. */
+  private boolean listed;
   private int askFailures;
   private long nextAsk;
   private double dropped;
@@ -279,6 +281,19 @@
     return out;
   }
 
+  /** Leaves out what the ranking would: servers that drain, and those that {@link #choose} passes over. */
+  @Override
+  public Standing standing(long at) {
+    now = at;
+    boolean common = commonFault();
+    int avoided = 0;
+    for (Server s : fleet) {
+      boolean passed = (!common && passedOver(s)) || overLimit(s) || full(s) || stalls(s);
+      avoided += s.state != ServerState.READY || passed ? 1 : 0;
+    }
+    return new Standing(listed, fleet.size(), avoided);
+  }
+
   // ---- Ranking -------------------------------------------------------------------------------
 
   /**
@@ -1035,6 +1050,7 @@
     }
     if (event.kind() != ListKind.SAVED) {
       subscribed = true;
+      listed = true;
       askFailures = 0;
     }
     if (event.kind() != ListKind.CHANGES) {
--- a/src/main/java/lemondeal/codec/LineParser.java
+++ b/src/main/java/lemondeal/codec/LineParser.java
@@ -4,17 +4,28 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 
-/** Cuts bytes, as they come, into lines that end in CRLF. */
+/** Cuts bytes, as they come, into lines that end in CRLF, or in LF alone where that is allowed. */
 public final class LineParser {
   private static final int FIRST_SIZE = 64;
 
   private final int longest;
+  private final boolean bareEnds;
   private byte[] line = new byte[FIRST_SIZE];
   private int length;
 
   /** {@code longest} counts the line's end too. */
   public LineParser(int longest) {
+    this(longest, false);
+  }
+
+  private LineParser(int longest, boolean bareEnds) {
     this.longest = longest;
+    this.bareEnds = bareEnds;
+  }
+
+  /** Also takes LF alone as an end: what people type into a plain tool ends so. */
+  public static LineParser ofEitherEnd(int longest) {
+    return new LineParser(longest, true);
   }
 
   /** Takes bytes up to the next line's end; returns that line without its end, or null if it is not whole. */
@@ -36,10 +47,11 @@
   }
 
   private String finish() throws ProtocolException {
-    if (length == 0 || line[length - 1] != '\r') {
+    boolean whole = length > 0 && line[length - 1] == '\r';
+    if (!whole && !bareEnds) {
       throw new ProtocolException("a line does not end in CRLF");
     }
-    String text = new String(line, 0, length - 1, StandardCharsets.ISO_8859_1);
+    String text = new String(line, 0, whole ? length - 1 : length, StandardCharsets.ISO_8859_1);
     length = 0;
     return text;
   }
--- a/src/main/java/lemondeal/config/Config.java
+++ b/src/main/java/lemondeal/config/Config.java
@@ -8,19 +8,23 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import lemondeal.codec.Json;
 import lemondeal.codec.ProtocolException;
 
 /**
  * What a proxy is told at its start, by the environment and the file that it names.
  *
+ * @param inherited whether the clients' listening socket comes open, as descriptor 0
+ * @param admin the second address, or null where there is none
  * @param discoveryInFile where the file itself says that discovery is: a change there counts at a reload
  * @param known the list of servers in discovery's form, as this proxy last had it
  * @param loadIsDelay whether a server's LOAD line carries the milliseconds that a message takes there, not
  *     the connection's load: so where the settings say that servers tell delays and no loads
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, String discoveryInFile,
-    long seed, Map<String, Object> known, Settings settings, Names names, boolean loadIsDelay, Limits limits) {
+public record Config(String name, InetSocketAddress listen, boolean inherited, InetSocketAddress admin,
+    InetSocketAddress discovery, String discoveryInFile, long seed, Map<String, Object> known, Settings settings,
+    Names names, boolean loadIsDelay, Limits limits) {
 
   /** Names that stand on sockets where the module has indices. */
   public record Names(List<String> classes, List<String> zones, List<String> models) {}
@@ -30,7 +34,7 @@
   private static final long DEFAULT_DIAL = 150_000;
   private static final long DEFAULT_KEEPALIVE = 5_000_000;
 
-  /** Reads {@code GW_CONFIG}; {@code GW_NAME}, {@code GW_LISTEN} and {@code GW_DISCOVERY} go before it. */
+  /** Reads {@code GW_CONFIG}; {@code GW_NAME} and the addresses that the environment gives go before it. */
   public static Config read(Map<String, String> environment) {
     return read(environment, null);
   }
@@ -42,7 +46,7 @@
 
   /** Whether nothing but discovery's address differs, of what a running proxy could take over. */
   public boolean runsAs(Config other) {
-    return name.equals(other.name) && listen.equals(other.listen) && settings.equals(other.settings)
+    return name.equals(other.name) && listen.equals(other.listen) && Objects.equals(admin, other.admin) && settings.equals(other.settings)
         && limits.equals(other.limits);
   }
 
@@ -60,6 +64,8 @@
     return new Config(
         environment.getOrDefault("GW_NAME", root.text("name", "proxy")),
         address("listen", environment.getOrDefault("GW_LISTEN", root.text("listen", ""))),
+        inherited(environment.getOrDefault("GW_ACCEPT_FD", "")),
+        admin(environment.getOrDefault("GW_ADMIN_ADDR", root.text("admin_addr", ""))),
         discovery(environment, discoveryInFile, before), discoveryInFile,
         seed(root.text("seed", "0")), root.part("known").values(), SettingsReader.read(settings.values()),
         new Names(names(settings.parts("profiles")), texts(settings.list("azs")), texts(settings.list("flavors"))),
@@ -80,6 +86,18 @@
     return inFile.equals(before.discoveryInFile) ? before.discovery : address("discovery", inFile);
   }
 
+  /** The one descriptor from which the JDK can take a listening socket is the first. */
+  private static boolean inherited(String descriptor) {
+    if (!descriptor.isEmpty() && !descriptor.equals("0")) {
+      throw new ConfigException("GW_ACCEPT_FD should be 0, found " + descriptor);
+    }
+    return !descriptor.isEmpty();
+  }
+
+  private static InetSocketAddress admin(String text) {
+    return text.isEmpty() ? null : address("admin_addr", text);
+  }
+
   private static Map<String, Object> object(String file) {
     try {
       return Json.object(Files.readString(Path.of(file)));
--- a/src/main/java/lemondeal/config/Limits.java
+++ b/src/main/java/lemondeal/config/Limits.java
@@ -15,7 +15,10 @@
  * @param lingering closed sides still read at once; beyond, the oldest goes
  * @param accepted connections accepted at once, of whatever kind
  * @param accepts connections accepted before those that are open have their turn
- * @param acceptPause how long they have it
+ * @param adminCallers connections to the second address that have not brought a whole call; beyond, the oldest goes
+ * @param adminLine longest call there
+ * @param adminCall whoever has not brought a whole call by then is sent away
+ * @param listWithin the list held at the start is served from when discovery has told none by then
  * @param tick of the timer wheel
  * @param wheelSlots in the timer wheel
  * @param dial a connection not up by then could not be had
@@ -43,16 +46,21 @@
  * @param drainMost the longest that a stop may take
  */
 public record Limits(int lineBytes, int ringBytes, int listLineBytes, int turnBytes, int lingerBytes, int clients,
-    int newcomers, int lingering, int accepted, int accepts, long acceptPause, long tick, int wheelSlots, long dial, long answerLead,
-    long firstLine, long silence, long unease, long moment, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe, long probeIdle, long watchSilence, long adoptPause,
-    long adoptFor, long throttleFor, long drainAccept, long drainHold, long drainStep, long drainSpread, long drainMost) {
+    int newcomers, int lingering, int accepted, int accepts, int adminCallers, int adminLine, long adminCall,
+    long listWithin, long tick, int wheelSlots, long dial, long answerLead, long firstLine, long silence, long unease,
+    long moment, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe,
+    long probeIdle, long watchSilence, long adoptPause, long adoptFor, long throttleFor, long drainAccept,
+    long drainHold, long drainStep, long drainSpread, long drainMost) {
 
   private static final long MILLI = 1_000;
   private static final long SECOND = 1_000_000;
   /** Descriptors of the program itself: 13 are seen (files, selectors, the listener); the rest is room. */
-  private static final int OWN_FILES = 24;
+  private static final int OWN_FILES = 16;
   /** Descriptors for one probe link to each server and for calls to discovery. */
-  private static final int OWN_SOCKETS = 24;
+  private static final int OWN_SOCKETS = 22;
+  /** Connections to the second address, beside its listener and one that has just been accepted. */
+  private static final int ADMIN_CALLERS = 8;
+  private static final int ADMIN_FILES = ADMIN_CALLERS + 2;
   /** Connections without a request: so many on the smallest machine, and one more for each so many sockets. */
   private static final int IDLE_LEAST = 36;
   private static final int IDLE_PART = 16;
@@ -82,16 +90,17 @@
     int idle = IDLE_LEAST + Math.max(0, sockets - SMALLEST) / IDLE_PART;
     int lingering = idle / 3;
     int newcomers = idle - lingering - ACCEPT_SLACK;
-    int bySockets = (sockets - OWN_FILES - OWN_SOCKETS - idle) / 2;
+    int bySockets = (sockets - OWN_FILES - OWN_SOCKETS - ADMIN_FILES - idle) / 2;
     int byMemory = (int) Math.min(Integer.MAX_VALUE, ((long) memoryMb << 20) / RINGS_PART / (2 * RING_BYTES));
     int clients = Math.min(bySockets, byMemory);
     if (clients < 1) {
       throw new ConfigException("limits: " + sockets + " sockets and " + memoryMb + " MB leave no room for clients");
     }
-    return new Limits(4096, RING_BYTES, 1 << 20, 64 * 1024, 64 * 1024, clients, newcomers, lingering,
-        2 * clients + idle, 32, MILLI, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 400 * MILLI,
-        30 * MILLI, 64, LINGER, 800 * MILLI, SECOND, 1.0 / 3, SECOND, keepalive, 3500 * MILLI, 250 * MILLI,
-        35 * SECOND, SECOND, DRAIN_ACCEPT, drainMoves - drainSpread,
-        DRAIN_STEP, drainSpread, drainMost);
+    return new Limits(4096, RING_BYTES, 1 << 20, 64 * 1024, 64 * 1024, clients,
+        newcomers, lingering, 2 * clients + idle, 32, ADMIN_CALLERS, 256, 5 * SECOND,
+        3 * SECOND, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 400 * MILLI,
+        30 * MILLI, 64, LINGER, 800 * MILLI, SECOND, 1.0 / 3, SECOND,
+        keepalive, 3500 * MILLI, 250 * MILLI, 35 * SECOND, SECOND, DRAIN_ACCEPT,
+        drainMoves - drainSpread, DRAIN_STEP, drainSpread, drainMost);
   }
 }
--- a/src/main/java/lemondeal/net/Crowd.java
+++ b/src/main/java/lemondeal/net/Crowd.java
@@ -36,4 +36,8 @@
   public void leave(T member) {
     members.remove(member);
   }
+
+  public boolean isEmpty() {
+    return members.isEmpty();
+  }
 }
--- a/src/main/java/lemondeal/net/Faults.java
+++ b/src/main/java/lemondeal/net/Faults.java
@@ -32,8 +32,13 @@
     guard(task, () -> { });
   }
 
+  /** Tells of a failure that is not the program's own. */
+  void tell(String text) {
+    log.println("lemondeal: " + text);
+  }
+
   private void tell(RuntimeException e) {
-    log.println("lemondeal: failed inside: " + e);
+    tell("failed inside: " + e);
     e.printStackTrace(log);
   }
 }
--- /dev/null
+++ b/src/main/java/lemondeal/net/Listener.java
@@ -0,0 +1,100 @@
+package lemondeal.net;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.channels.Channel;
+import java.nio.channels.ServerSocketChannel;
+import java.util.function.Consumer;
+import org.xnio.IoUtils;
+import org.xnio.OptionMap;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
+import org.xnio.XnioWorker;
+import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.OpenListener;
+
+/**
+ * A listening socket, whose connections are accepted on the I/O thread. Beyond the limit they wait in the system's
+ * queue until others have closed; of that queue nothing is held here, so that {@link #suspend} leaves all that was
+ * not told yet to whoever else has the socket.
+ */
+public final class Listener {
+  private static final int BACKLOG = 1024;
+
+  private final Net net;
+  private final int turn;
+  private final Consumer<Link> accepted;
+  private final AcceptingChannel<? extends StreamConnection> server;
+
+  Listener(Net net, XnioWorker worker, ServerSocketChannel channel, int most, Consumer<Link> accepted)
+      throws IOException {
+    this.net = net;
+    this.accepted = accepted;
+    turn = net.limits().accepts();
+    channel.configureBlocking(false);
+    server = OpenListener.serve(worker, channel, ready -> accept(),
+        OptionMap.builder().set(Options.TCP_NODELAY, true).set(Options.CONNECTION_HIGH_WATER, most)
+            .set(Options.CONNECTION_LOW_WATER, most - 1).getMap());
+  }
+
+  /** A listening socket of this process's own. */
+  public static ServerSocketChannel bind(InetSocketAddress address) throws IOException {
+    ServerSocketChannel channel = ServerSocketChannel.open();
+    try {
+      channel.socket().setReuseAddress(true);
+      return channel.bind(address, BACKLOG);
+    } catch (IOException e) {
+      IoUtils.safeClose(channel);
+      throw new IOException("cannot listen on " + address + ": " + e.getMessage(), e);
+    }
+  }
+
+  /**
+   * The listening socket that this process inherited as descriptor 0. It must never be closed: the JDK then puts
+   * /dev/null in place of descriptors 0, 1 and 2, and the log would go silent.
+   */
+  public static ServerSocketChannel inherited() throws IOException {
+    Channel channel = System.inheritedChannel();
+    if (channel instanceof ServerSocketChannel listening) {
+      return listening;
+    }
+    throw new IOException("descriptor 0 is no listening socket");
+  }
+
+  public InetSocketAddress address() {
+    return server.getLocalAddress(InetSocketAddress.class);
+  }
+
+  /** Accepts from now on. */
+  public void resume() {
+    server.resumeAccepts();
+  }
+
+  /** Accepts nothing more; the socket stays open. */
+  public void suspend() {
+    server.suspendAccepts();
+  }
+
+  public void close() {
+    IoUtils.safeClose(server);
+  }
+
+  /**
+   * Lets connections in for one turn, and the others when all that is open has had its own. Guards against clients
+   * that come again as soon as they are turned away: there was always one more, and nothing was read meanwhile.
+   */
+  private void accept() {
+    try {
+      for (int i = 0; i < turn; i++) {
+        StreamConnection next = server.isOpen() ? server.accept() : null;
+        if (next == null) {
+          return;
+        }
+        Link link = new Link(net, next);
+        link.guarded(() -> accepted.accept(link));
+      }
+    } catch (IOException e) {
+      net.faults().tell("accepting failed: " + e.getMessage());
+    }
+  }
+}
--- a/src/main/java/lemondeal/net/Net.java
+++ b/src/main/java/lemondeal/net/Net.java
@@ -3,7 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.ArrayDeque;
+import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.FutureTask;
@@ -11,19 +11,16 @@
 import java.util.function.Consumer;
 import lemondeal.config.Limits;
 import org.xnio.IoFuture;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.Xnio;
 import org.xnio.XnioIoThread;
 import org.xnio.XnioWorker;
-import org.xnio.channels.AcceptingChannel;
 
-/** XNIO with one I/O thread, on which everything runs; opens, accepts and counts links. */
+/** XNIO with one I/O thread, on which everything runs; opens and accepts links. */
 public final class Net {
   private static final int SCRATCH_BYTES = 16 * 1024;
-  private static final int BACKLOG = 1024;
   private static final OptionMap SOCKETS = OptionMap.builder().set(Options.TCP_NODELAY, true).getMap();
 
   private final Limits limits;
@@ -34,9 +31,6 @@
   private final Faults faults;
   private final Crowd<Link> lingering;
   private Timers timers;
-  private AcceptingChannel<StreamConnection> server;
-  private final ArrayDeque<StreamConnection> waiting = new ArrayDeque<>();
-  private boolean admitting;
 
   public Net(Limits limits, Faults faults) throws IOException {
     this.limits = limits;
@@ -79,69 +73,9 @@
     return thread.executeAfter(() -> faults.guard(task), micros, TimeUnit.MICROSECONDS);
   }
 
-  /**
-   * Accepts connections. Beyond the limit they wait in the system's queue until others have closed: the library
-   * keeps that count, since its acceptor holds connections that have not come up to the I/O thread yet.
-   */
-  public void listen(InetSocketAddress address, Consumer<Link> accepted) throws IOException {
-    server = worker.createStreamConnectionServer(address, channel -> accept(accepted),
-        OptionMap.builder().addAll(SOCKETS).set(Options.REUSE_ADDRESSES, true)
-            .set(Options.BACKLOG, BACKLOG).set(Options.CONNECTION_HIGH_WATER, limits.accepted())
-            .set(Options.CONNECTION_LOW_WATER, limits.accepted() - 1).getMap());
-    server.resumeAccepts();
-  }
-
-  public InetSocketAddress localAddress() {
-    return server.getLocalAddress(InetSocketAddress.class);
-  }
-
-  public void stopListening() {
-    IoUtils.safeClose(server);
-    server = null;
-  }
-
-  /**
-   * Takes what the library has accepted; it would call again without end for what is left with it. Bounded, as
-   * its count of open connections is.
-   */
-  private void accept(Consumer<Link> accepted) {
-    try {
-      for (StreamConnection next = nextAccepted(); next != null; next = nextAccepted()) {
-        waiting.add(next);
-      }
-    } catch (IOException e) {
-      // Out of descriptors, say: connections wait in the system's queue and are tried again.
-      server.suspendAccepts();
-      laterBy(limits.linger(), this::resumeAccepts);
-    }
-    if (!admitting) {
-      admit(accepted);
-    }
-  }
-
-  private StreamConnection nextAccepted() throws IOException {
-    return server == null ? null : server.accept();
-  }
-
-  /**
-   * Lets connections in for one turn, and the others in later turns. Guards against clients that come again as soon
-   * as they are turned away: there was always one more, and open connections were not read meanwhile.
-   */
-  private void admit(Consumer<Link> accepted) {
-    for (int i = 0; i < limits.accepts() && !waiting.isEmpty(); i++) {
-      Link link = new Link(this, waiting.poll());
-      link.guarded(() -> accepted.accept(link));
-    }
-    admitting = !waiting.isEmpty();
-    if (admitting) {
-      laterBy(limits.acceptPause(), () -> admit(accepted));
-    }
-  }
-
-  private void resumeAccepts() {
-    if (server != null) {
-      server.resumeAccepts();
-    }
+  /** Accepts connections from this socket once the listener is resumed, at most so many at once. */
+  public Listener listen(ServerSocketChannel channel, int most, Consumer<Link> accepted) throws IOException {
+    return new Listener(this, worker, channel, most, accepted);
   }
 
   /** Opens a connection; exactly one of the two is told, unless the dial is called off. */
@@ -151,9 +85,8 @@
     return dial;
   }
 
-  /** Stops listening and ends the threads, with whatever is still open. */
+  /** Ends the threads, with whatever is still open. */
   public void shutdown() {
-    stopListening();
     worker.shutdownNow();
   }
 
--- a/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/src/main/java/lemondeal/proxy/ClientLink.java
@@ -25,7 +25,6 @@
 final class ClientLink implements Link.Owner {
   private static final long MILLI = 1000;
   private static final String MOVE = "MOVE\r\n";
-  static final String FAILED = "ERR\r\n";
 
   private enum State { WAITING, UP, OVER }
 
@@ -84,6 +83,11 @@
     return link;
   }
 
+  /** Whether it is up and has not been sent away yet. */
+  boolean isMovable() {
+    return state == State.UP && !moving;
+  }
+
   @Override
   public int room() {
     return switch (state) {
@@ -136,7 +140,7 @@
   private void adopt() {
     long left = adoptUntil - context.now();
     if (left <= 0) {
-      answer(busy(context.limits().throttleFor()));
+      throttle(context.limits().throttleFor());
       return;
     }
     execution = new Execution(context, this, open.value("at"), attempts);
@@ -163,6 +167,7 @@
     state = State.UP;
     Timers.cancel(timer);
     link.send(line + "\r\n");
+    context.figures().served(requestClass);
     if (isAdoption()) {
       context.decisions().tell(new Adopted(request, from.server()));
     } else {
@@ -175,7 +180,8 @@
 
   /** A server that ends a connection without UP has served it to its end. */
   void servedAtOnce(Execution from, String line, LoadReport report) {
-    answer(line + "\r\n");
+    leave();
+    context.answers().failed(link, requestClass, line + "\r\n");
     from.end(Outcome.SERVED, report);
   }
 
@@ -183,26 +189,18 @@
 
   void throttle(long retryAfter) {
     if (state == State.WAITING) {
-      answer(busy(retryAfter));
+      leave();
+      context.answers().busy(link, requestClass, retryAfter);
     }
   }
 
   void fail() {
     if (state == State.WAITING) {
-      answer(FAILED);
+      leave();
+      context.answers().failed(link, requestClass);
     }
   }
 
-  static String busy(long micros) {
-    return micros <= 0 ? "BUSY\r\n" : "BUSY " + (micros + MILLI - 1) / MILLI + "\r\n";
-  }
-
-  private void answer(String line) {
-    leave();
-    link.send(line);
-    link.finish();
-  }
-
   /** Guards the promise of an answer in time, should the module let a request lie. */
   private void overdue() {
     if (state == State.WAITING) {
@@ -212,7 +210,7 @@
 
   /** Ends the request from this side, with an answer and whatever the module makes of it. */
   private void refuse() {
-    answer(FAILED);
+    fail();
     gone();
   }
 
--- a/src/main/java/lemondeal/proxy/Context.java
+++ b/src/main/java/lemondeal/proxy/Context.java
@@ -3,11 +3,17 @@
 import lemondeal.config.Config;
 import lemondeal.config.Limits;
 import lemondeal.discovery.HostGroup;
+import lemondeal.figures.Figures;
 import lemondeal.net.Net;
 import lemondeal.net.Timers;
 
 /** What every connection of this proxy works with. */
-record Context(Config config, Net net, Timers timers, HostGroup group, Decisions decisions, DelayMeter delays) {
+record Context(Config config, Net net, Timers timers, HostGroup group, Decisions decisions, DelayMeter delays,
+    Figures figures) {
+
+  FinalAnswer answers() {
+    return new FinalAnswer(figures);
+  }
 
   Limits limits() {
     return config.limits();
--- a/src/main/java/lemondeal/proxy/Execution.java
+++ b/src/main/java/lemondeal/proxy/Execution.java
@@ -23,6 +23,7 @@
   private Dial dial;
   private Link link;
   private Timers.Timer timeout;
+  private boolean written;
   private boolean up;
   private boolean over;
   private ServerLine last = new ServerLine(ServerLine.Kind.OTHER, "");
@@ -72,6 +73,15 @@
     link.start(this);
     long left = Math.max(0, deadline - context.now());
     link.send(client.firstLine(left));
+    attempted();
+  }
+
+  /** Counts the attempt once its line's last byte is written, which may be at once or later. */
+  private void attempted() {
+    if (!written && link.isFlushed()) {
+      written = true;
+      context.figures().attempted();
+    }
   }
 
   boolean isUp() {
@@ -206,6 +216,7 @@
 
   @Override
   public void flushed() {
+    attempted();
     client.resume();
   }
 }
--- /dev/null
+++ b/src/main/java/lemondeal/proxy/FinalAnswer.java
@@ -0,0 +1,42 @@
+package lemondeal.proxy;
+
+import lemondeal.figures.Figures;
+import lemondeal.net.Link;
+
+/** Final answers that are this proxy's own: the one place where they are sent, and so where they are counted. */
+final class FinalAnswer {
+  private static final long MILLI = 1000;
+  private static final String FAILED = "ERR\r\n";
+
+  private final Figures figures;
+
+  FinalAnswer(Figures figures) {
+    this.figures = figures;
+  }
+
+  /** Throttles: trying again is harmless, after this time if it is not 0. */
+  void busy(Link link, int requestClass, long micros) {
+    figures.refused(requestClass);
+    end(link, micros <= 0 ? "BUSY\r\n" : "BUSY " + (micros + MILLI - 1) / MILLI + "\r\n");
+  }
+
+  void failed(Link link, int requestClass) {
+    failed(link, requestClass, FAILED);
+  }
+
+  /** Any other line tells a client that its request has failed. */
+  void failed(Link link, int requestClass, String line) {
+    figures.failed(requestClass);
+    end(link, line);
+  }
+
+  /** Answers one whose class can't be told, so that it counts in none. */
+  void unreadable(Link link) {
+    end(link, FAILED);
+  }
+
+  private static void end(Link link, String line) {
+    link.send(line);
+    link.finish();
+  }
+}
--- a/src/main/java/lemondeal/proxy/Gate.java
+++ b/src/main/java/lemondeal/proxy/Gate.java
@@ -34,9 +34,12 @@
     return closing;
   }
 
-  /** Lets nobody in any more; {@code whenEmpty} is run each time that the last has left. */
+  /** Lets nobody in any more; {@code whenEmpty} is run as soon as nobody is left inside. */
   void close(Runnable whenEmpty) {
     closing = true;
     emptied = whenEmpty;
+    if (requests.isEmpty()) {
+      emptied.run();
+    }
   }
 }
--- a/src/main/java/lemondeal/proxy/Newcomer.java
+++ b/src/main/java/lemondeal/proxy/Newcomer.java
@@ -57,7 +57,8 @@
         }
       }
     } catch (ProtocolException e) {
-      answer(ClientLink.FAILED);
+      leave();
+      context.answers().unreadable(link);
     }
     bytes.position(bytes.limit());
   }
@@ -72,25 +73,16 @@
     if (requestClass < 0) {
       throw new ProtocolException("unknown class " + open.value("c"));
     }
-    if (moreFollows) {
-      throw new ProtocolException("a client waits behind its first line");
-    }
-    if (gate.holds(open.id())) {
-      throw new ProtocolException("the id of an open request");
-    }
-    if (!gate.admits()) {
-      answer(ClientLink.busy(context.limits().throttleFor()));
-      return;
-    }
     leave();
-    new ClientLink(context, gate, link, open, requestClass).start();
-    crowd.trim();
-  }
-
-  private void answer(String line) {
-    leave();
-    link.send(line);
-    link.finish();
+    if (moreFollows || gate.holds(open.id())) {
+      // A client waits behind its first line; and nobody else may use the id of an open request.
+      context.answers().failed(link, requestClass);
+    } else if (!gate.admits()) {
+      context.answers().busy(link, requestClass, context.limits().throttleFor());
+    } else {
+      new ClientLink(context, gate, link, open, requestClass).start();
+      crowd.trim();
+    }
   }
 
   /**
--- a/src/main/java/lemondeal/proxy/Proxy.java
+++ b/src/main/java/lemondeal/proxy/Proxy.java
@@ -12,6 +12,8 @@
 import lemondeal.Balancer.Probe;
 import lemondeal.Balancer.Refuse;
 import lemondeal.Balancer.Send;
+import lemondeal.Balancer.ServerList;
+import lemondeal.Balancer.Standing;
 import lemondeal.Balancer.Start;
 import lemondeal.Balancer.Subscribe;
 import lemondeal.Balancer.Wake;
@@ -19,24 +21,28 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
-import java.util.ArrayDeque;
+import java.nio.channels.ServerSocketChannel;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
+import lemondeal.admin.Admin;
 import lemondeal.config.Config;
 import lemondeal.config.Limits;
 import lemondeal.discovery.Discovery;
 import lemondeal.discovery.HostGroup;
+import lemondeal.figures.Figures;
 import lemondeal.net.Crowd;
 import lemondeal.net.Faults;
 import lemondeal.net.Link;
+import lemondeal.net.Listener;
 import lemondeal.net.Net;
 import org.xnio.XnioIoThread;
 
 /** One real proxy: puts the parts together and carries out what the module decides. */
-public final class Proxy implements AutoCloseable {
+public final class Proxy implements Admin.Subject, AutoCloseable {
   private final Config config;
+  private final Balancer module;
   private final Limits limits;
   private final Net net;
   private final TimerWheel wheel;
@@ -49,11 +55,17 @@
   private final Crowd<Newcomer> newcomers;
   private final PrintStream log;
   private final Map<String, Prober> probers = new HashMap<>();
-  private final CountDownLatch stopped = new CountDownLatch(1);
+  private final Figures figures;
+  private final Stop stop;
+  private Listener clients;
+  private Listener secondAddress;
+  private boolean accepting;
+  private boolean stopping;
   private XnioIoThread.Key nextAdvance;
 
   public Proxy(Config config, Balancer module, PrintStream log) throws IOException {
     this.config = config;
+    this.module = module;
     this.log = log;
     limits = config.limits();
     Clock clock = new Clock();
@@ -63,26 +75,66 @@
     net.use(wheel);
     group = new HostGroup(config.names());
     decisions = new Decisions(module, clock::now, this::act);
-    discovery = new Discovery(net, wheel, limits, config.discovery(), group, decisions::tell);
+    discovery = new Discovery(net, wheel, limits, config.discovery(), group, this::listed);
     DelayMeter delays = new DelayMeter(config.settings(), limits, decisions::tell);
-    context = new Context(config, net, wheel, group, decisions, delays);
+    figures = new Figures(config.names().classes());
+    context = new Context(config, net, wheel, group, decisions, delays, figures);
     requests = new Requests(limits.clients());
     gate = new Gate(requests);
     newcomers = new Crowd<>(() -> limits.newcomers() + 2 * requests.left(), Newcomer::makeRoom);
+    stop = new Stop(limits, wheel, gate, requests, () -> !newcomers.isEmpty());
   }
 
-  /** Starts on the I/O thread; returns when clients are accepted, or throws what went wrong. */
+  /** Starts on the I/O thread; returns when the addresses are listened on, or throws what went wrong. */
   public void start() throws IOException {
+    start(config.inherited() ? Listener.inherited() : Listener.bind(config.listen()));
+  }
+
+  /** Starts with this listening socket for clients. */
+  void start(ServerSocketChannel socket) throws IOException {
     net.run(() -> {
+      clients = net.listen(socket, limits.accepted(), this::accepted);
+      if (config.admin() != null) {
+        Admin admin = new Admin(limits, this);
+        secondAddress = net.listen(Listener.bind(config.admin()), limits.adminCallers() + 1, admin::accepted);
+        secondAddress.resume();
+      }
       decisions.tell(new Start(config.seed(), config.settings()));
       decisions.tell(group.saved(config.known()));
-      net.listen(config.listen(), this::accepted);
+      if (!config.inherited()) {
+        clients.resume();
+      }
+      wheel.after(limits.listWithin(), this::serve);
       return null;
     });
   }
 
   public InetSocketAddress localAddress() {
-    return net.localAddress();
+    return clients.address();
+  }
+
+  /** The second address, if there is one. */
+  InetSocketAddress adminAddress() {
+    return secondAddress.address();
+  }
+
+  private void listed(ServerList list) {
+    decisions.tell(list);
+    if (module.standing(wheel.now()).listed()) {
+      serve();
+    }
+  }
+
+  /**
+   * From now on this process can serve: the module has a list that discovery told, or discovery has told none in
+   * good time and the list from before the start must do. Only then does it accept from a socket that another
+   * process may be accepting from.
+   */
+  private void serve() {
+    if (!accepting && !stopping && module.standing(wheel.now()).known() > 0) {
+      accepting = true;
+      clients.resume();
+    }
   }
 
   private void accepted(Link link) {
@@ -94,19 +146,13 @@
     net.later(() -> discovery.moveTo(fresh.discovery()));
   }
 
-  // ---- Stop ----------------------------------------------------------------------------------
-
-  /**
-   * Stops politely: throttles what still comes, moves all connections when nothing comes any more, and lets
-   * requests that are still owed an answer get theirs. Returns when all is done or the time is up.
-   */
+  /** Stops politely; returns when all is done or the time is up. */
   public void stop() throws InterruptedException {
     net.later(() -> {
-      gate.close(() -> { });
-      wheel.after(limits.drainAccept(), this::acceptNoMore);
-      wheel.after(limits.drainMost(), stopped::countDown);
+      stopping = true;
+      stop.begin(clients);
     });
-    stopped.await();
+    stop.await();
   }
 
   /** Ends the I/O thread at once. */
@@ -115,34 +161,22 @@
     net.shutdown();
   }
 
-  /** Clients are served on for a while: other proxies may be on their way back from a stop of their own. */
-  private void acceptNoMore() {
-    net.stopListening();
-    wheel.after(requests.isEmpty() ? 0 : limits.drainHold(), this::moveAll);
-  }
+  // ---- What the operators' staff ask ----------------------------------------------------------
 
-  private void moveAll() {
-    // What was written last must still arrive before the process ends.
-    gate.close(() -> wheel.after(limits.linger(), stopped::countDown));
-    ArrayDeque<ClientLink> clients = new ArrayDeque<>(requests.all());
-    if (clients.isEmpty()) {
-      stopped.countDown();
-    }
-    moveNext(clients, (int) (clients.size() * limits.drainStep() / limits.drainSpread()) + 1);
+  @Override
+  public boolean isReady() {
+    return accepting && !stopping;
   }
 
-  /**
-   * Moves a few clients, and the others step by step. Guards the other proxies, their servers and what stands
-   * behind set-ups against a crowd: clients that are moved come again within a moment, all of them together.
-   */
-  private void moveNext(ArrayDeque<ClientLink> clients, int each) {
-    for (int i = 0; i < each && !clients.isEmpty(); i++) {
-      ClientLink client = clients.poll();
-      client.link().guarded(client::move);
-    }
-    if (!clients.isEmpty()) {
-      wheel.after(limits.drainStep(), () -> moveNext(clients, each));
-    }
+  @Override
+  public Map<String, Long> figures() {
+    Map<String, Long> all = new LinkedHashMap<>();
+    figures.addTo(all);
+    Standing standing = module.standing(wheel.now());
+    all.put("in_flight", (long) requests.size());
+    all.put("servers_known", (long) standing.known());
+    all.put("servers_excluded", (long) standing.avoided());
+    return all;
   }
 
   // ---- Time ----------------------------------------------------------------------------------
--- a/src/main/java/lemondeal/proxy/Requests.java
+++ b/src/main/java/lemondeal/proxy/Requests.java
@@ -25,6 +25,10 @@
     return slots.left();
   }
 
+  int size() {
+    return slots.size();
+  }
+
   boolean isEmpty() {
     return slots.size() == 0;
   }
--- /dev/null
+++ b/src/main/java/lemondeal/proxy/Stop.java
@@ -0,0 +1,70 @@
+package lemondeal.proxy;
+
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.BooleanSupplier;
+import lemondeal.config.Limits;
+import lemondeal.net.Listener;
+import lemondeal.net.Timers;
+
+/**
+ * The order to stop, carried out on the I/O thread. Connections that stand are served on for a while, then moved
+ * step by step, and requests that are owed an answer get theirs. Those that still come are throttled until the
+ * listening socket closes.
+ */
+final class Stop {
+  private final Limits limits;
+  private final Timers timers;
+  private final Gate gate;
+  private final Requests requests;
+  /** Whether connections wait here whose first line has not come. */
+  private final BooleanSupplier awaited;
+  private final CountDownLatch done = new CountDownLatch(1);
+  private long movedBy;
+
+  Stop(Limits limits, Timers timers, Gate gate, Requests requests, BooleanSupplier awaited) {
+    this.limits = limits;
+    this.timers = timers;
+    this.gate = gate;
+    this.requests = requests;
+    this.awaited = awaited;
+  }
+
+  void begin(Listener own) {
+    timers.after(limits.drainMost(), done::countDown);
+    gate.close(() -> { });
+    timers.after(limits.drainAccept(), () -> {
+      own.close();
+      timers.after(requests.isEmpty() ? 0 : limits.drainHold(), () -> moveWithin(limits.drainSpread()));
+    });
+  }
+
+  void await() throws InterruptedException {
+    done.await();
+  }
+
+  private void moveWithin(long micros) {
+    movedBy = timers.now() + micros;
+    moveSome();
+  }
+
+  /**
+   * Moves a few clients, and the others step by step. Guards the other proxies, their servers and what stands
+   * behind set-ups against a crowd: clients that are moved come again within a moment, all of them together.
+   */
+  private void moveSome() {
+    long steps = Math.max(0, movedBy - timers.now()) / limits.drainStep();
+    List<ClientLink> movable = requests.all().stream().filter(ClientLink::isMovable).toList();
+    long share = (movable.size() + steps) / (steps + 1);
+    for (ClientLink client : movable.subList(0, (int) share)) {
+      client.link().guarded(client::move);
+    }
+    boolean allSeen = movable.size() <= share && !awaited.getAsBoolean();
+    if (steps == 0 || allSeen) {
+      // Who comes up from now on is moved at once. What was written last must still arrive before the end.
+      gate.close(() -> timers.after(limits.linger(), done::countDown));
+    } else {
+      timers.after(limits.drainStep(), this::moveSome);
+    }
+  }
+}
--- a/src/test/java/lemondeal/benchlink/WireTest.java
+++ b/src/test/java/lemondeal/benchlink/WireTest.java
@@ -35,6 +35,7 @@
 import lemondeal.Balancer.WakeAfter;
 import lemondeal.Balancer.WeightMeaning;
 import lemondeal.Logic;
+import lemondeal.Scripted;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
@@ -205,19 +206,19 @@
   @Test
   void anInstanceMayStopAndStartInOneBatch() {
     List<Event> met = new ArrayList<>();
-    Run run = run(() -> (now, event) -> {
+    Run run = run(() -> new Scripted(event -> {
       met.add(event);
       return List.of();
-    }, batch(1, enlist("n")), batch(2, "[\"KILL\",\"n\"]", enlist("n"), "[\"REMINDER\",\"n\",3]"));
+    }), batch(1, enlist("n")), batch(2, "[\"KILL\",\"n\"]", enlist("n"), "[\"REMINDER\",\"n\",3]"));
     assertEquals(0, run.code);
     assertEquals(3, met.size());
   }
 
   @Test
   void anExceptionInTheModuleIsReportedAsSuch() {
-    Run run = run(() -> (now, event) -> {
+    Run run = run(() -> new Scripted(event -> {
       throw new IllegalStateException("oh");
-    }, batch(1, enlist("n")));
+    }), batch(1, enlist("n")));
     assertTrue(run.out.contains("[\"BAIL_OUT\",\"n\",\"java.lang.IllegalStateException: oh"), run.out);
     assertEquals(0, run.code);
   }
--- a/src/test/java/lemondeal/net/LinkTest.java
+++ b/src/test/java/lemondeal/net/LinkTest.java
@@ -30,6 +30,7 @@
   private final BlockingQueue<Link> accepted = new LinkedBlockingQueue<>();
   private volatile Runnable onAccept = () -> { };
   private Net net;
+  private Listener listener;
 
   /** Counts what comes before the I/O thread turns to its next task. */
   private final class Counting implements Link.Owner {
@@ -72,10 +73,12 @@
   void listen() throws Exception {
     net = new Net(limits, new Faults(System.err));
     net.run(() -> {
-      net.listen(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), link -> {
-        accepted.add(link);
-        onAccept.run();
-      });
+      listener = net.listen(Listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)),
+          limits.accepted(), link -> {
+            accepted.add(link);
+            onAccept.run();
+          });
+      listener.resume();
       return null;
     });
   }
@@ -92,7 +95,7 @@
   /** A side at full speed was once read until its socket was empty, however long that took. */
   @Test
   void oneTurnReadsABoundedPart() throws Exception {
-    try (SocketChannel peer = SocketChannel.open(net.localAddress())) {
+    try (SocketChannel peer = SocketChannel.open(listener.address())) {
       peer.configureBlocking(false);
       ByteBuffer bytes = ByteBuffer.allocate(1 << 20);
       long sent = 0;
@@ -122,7 +125,7 @@
     net.later(() -> assertDoesNotThrow(() -> come.await(10, TimeUnit.SECONDS)));
     try {
       for (int i = 0; i < count; i++) {
-        peers.add(SocketChannel.open(net.localAddress()));
+        peers.add(SocketChannel.open(listener.address()));
       }
       come.countDown();
       assertTrue(firstTurn.poll(10, TimeUnit.SECONDS) <= limits.accepts());
@@ -145,7 +148,7 @@
     try {
       long before = direct.getMemoryUsed();
       for (int i = 0; i < 60; i++) {
-        peers.add(SocketChannel.open(net.localAddress()));
+        peers.add(SocketChannel.open(listener.address()));
         assertEquals(limits.ringBytes(), next().free());
       }
       assertTrue(direct.getMemoryUsed() - before < 30L * limits.ringBytes());
--- a/src/test/java/lemondeal/proxy/Site.java
+++ b/src/test/java/lemondeal/proxy/Site.java
@@ -9,21 +9,24 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import lemondeal.Balancer;
 import lemondeal.Balancer.Action;
 import lemondeal.Balancer.Event;
+import lemondeal.Scripted;
 import lemondeal.config.Config;
 import lemondeal.config.Limits;
+import lemondeal.net.Listener;
 
 /** A proxy on loopback with one server, a discovery and a module that does as the test says. */
 final class Site implements AutoCloseable {
@@ -82,6 +85,7 @@
   private final List<Peer> peers = new ArrayList<>();
   final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
   final Proxy proxy;
+  final Scripted module;
 
   /** {@code script} answers each event; it runs on the proxy's I/O thread. */
   Site(Function<Event, List<Action>> script) throws IOException {
@@ -94,28 +98,39 @@
   }
 
   Site(Function<Event, List<Action>> script, String family, int sockets) throws IOException {
-    this(script, family, sockets, System.err);
+    this(script, family, sockets, System.err, null);
   }
 
   Site(Function<Event, List<Action>> script, PrintStream log) throws IOException {
-    this(script, "", 1024, log);
+    this(script, "", 1024, log, null);
   }
 
-  private Site(Function<Event, List<Action>> script, String family, int sockets, PrintStream log) throws IOException {
+  /** A proxy that shares its clients' listening socket. */
+  Site(Function<Event, List<Action>> script, ServerSocketChannel shared) throws IOException {
+    this(script, "", 1024, System.err, shared);
+  }
+
+  private Site(Function<Event, List<Action>> script, String family, int sockets, PrintStream log,
+      ServerSocketChannel shared) throws IOException {
     file = Files.createTempFile("lemondeal", ".json");
     Files.writeString(file, config(family, sockets));
-    Balancer module = (now, event) -> {
+    module = new Scripted(event -> {
       events.add(event);
       return script.apply(event);
-    };
-    config = Config.read(Map.of("GW_CONFIG", file.toString()));
+    });
+    Map<String, String> environment = new HashMap<>(Map.of("GW_CONFIG", file.toString()));
+    if (shared != null) {
+      environment.put("GW_ACCEPT_FD", "0");
+    }
+    config = Config.read(environment);
     proxy = new Proxy(config, module, log);
-    proxy.start();
+    proxy.start(shared == null ? Listener.bind(config.listen()) : shared);
   }
 
   private String config(String family, int sockets) {
     return """
-        {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"1",
+        {"name":"n0","listen":"127.0.0.1:0","admin_addr":"127.0.0.1:0",
+         "discovery":"127.0.0.1:%d","seed":"1",
          "limits":{"sockets":%d,"memory_mb":192},
          "known":{"generation":1,"reset":true,"instances":[%s]},
          "settings":{"azs":["a"],"flavors":["m"],"familyInfo":{%s "messageAim":[60000]},
@@ -143,10 +158,29 @@
   }
 
   Peer client() throws IOException {
-    InetSocketAddress address = proxy.localAddress();
+    return connect(proxy.localAddress());
+  }
+
+  /** A connection to the second address. */
+  Peer caller() throws IOException {
+    return connect(proxy.adminAddress());
+  }
+
+  private Peer connect(InetSocketAddress address) throws IOException {
     return keep(new Peer(new Socket(address.getAddress(), address.getPort())));
   }
 
+  /** What the second address says under this name. */
+  long figure(String name) throws IOException {
+    Peer caller = caller().send("show-stat\r\n");
+    for (String line = caller.line(); !line.equals("EOF"); line = caller.line()) {
+      if (line.startsWith(name + "=")) {
+        return Long.parseLong(line.substring(name.length() + 1));
+      }
+    }
+    throw new AssertionError("no figure " + name);
+  }
+
   /** A client that has sent its first line. */
   Peer client(String values) throws IOException {
     return client().send(String.format("OPEN %016x 7f3a9c21e0b4d655 %s\r\n", ++clients, values));
