Hand over on SIGTERM when the listening socket is shared, and turn nobody away

Seen: after the listener, an upgrade still lost all whose line was on its way: Gate.admits() is false from SIGTERM on, so newcomers got BUSY, and Proxy.moveAll counted the stop as done when no request was open, with newcomers pending.

With $GW_ACCEPT_FD accepting is suspended at once; nothing else changes for those accepted, whose line may take 2 s. Before it has a list the new process accepts nothing from the shared queue. Not taken: passing accepted sockets to the new process (proxies share nothing but the listener), and closing the listener, since the JDK then puts /dev/null on descriptors 0 to 2 (InheritedTest reads the log up to its last line).

--- a/src/main/java/lemondeal/Main.java
+++ b/src/main/java/lemondeal/Main.java
@@ -1,6 +1,7 @@
 package lemondeal;
 
 import java.io.IOException;
+import lemondeal.config.Addresses;
 import lemondeal.config.Config;
 import lemondeal.config.ConfigException;
 import lemondeal.proxy.Proxy;
@@ -30,8 +31,10 @@
       Reload reload = new Reload(config, System.getenv(), proxy::reconfigure, System.err);
       Hangup.handle(reload::request);
       proxy.start();
-      System.err.println("lemondeal: listening on " + proxy.localAddress().getAddress().getHostAddress() + ":"
-          + proxy.localAddress().getPort());
+      System.err.println("lemondeal: listening on " + Addresses.text(proxy.localAddress()));
+      if (proxy.adminAddress() != null) {
+        System.err.println("lemondeal: second address " + Addresses.text(proxy.adminAddress()));
+      }
       Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(proxy), "stop"));
     } catch (ConfigException | IOException e) {
       System.err.println("lemondeal: " + e.getMessage());
@@ -42,7 +45,9 @@
   /** Runs on SIGTERM; the process ends when this returns. */
   private static void stop(Proxy proxy) {
     try {
+      System.err.println("lemondeal: stopping");
       proxy.stop();
+      System.err.println("lemondeal: stopped");
       Runtime.getRuntime().halt(0);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/src/main/java/lemondeal/config/Addresses.java
+++ b/src/main/java/lemondeal/config/Addresses.java
@@ -4,10 +4,14 @@
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
 
-/** Reads {@code address:port}. */
+/** Reads and writes {@code address:port}. */
 public final class Addresses {
   private Addresses() {}
 
+  public static String text(InetSocketAddress address) {
+    return address.getAddress().getHostAddress() + ":" + address.getPort();
+  }
+
   /** Numeric addresses only: there is no DNS, and a look-up would stop the I/O thread. */
   public static InetSocketAddress parse(String text) {
     int colon = text.lastIndexOf(':');
--- a/src/main/java/lemondeal/proxy/Proxy.java
+++ b/src/main/java/lemondeal/proxy/Proxy.java
@@ -113,9 +113,9 @@
     return clients.address();
   }
 
-  /** The second address, if there is one. */
-  InetSocketAddress adminAddress() {
-    return secondAddress.address();
+  /** The second address, or null if there is none. */
+  public InetSocketAddress adminAddress() {
+    return secondAddress == null ? null : secondAddress.address();
   }
 
   private void listed(ServerList list) {
@@ -134,6 +134,7 @@
     if (!accepting && !stopping && module.standing(wheel.now()).known() > 0) {
       accepting = true;
       clients.resume();
+      log.println("lemondeal: ready");
     }
   }
 
@@ -150,7 +151,11 @@
   public void stop() throws InterruptedException {
     net.later(() -> {
       stopping = true;
-      stop.begin(clients);
+      if (config.inherited()) {
+        stop.handOver(clients);
+      } else {
+        stop.begin(clients);
+      }
     });
     stop.await();
   }
--- a/src/main/java/lemondeal/proxy/Stop.java
+++ b/src/main/java/lemondeal/proxy/Stop.java
@@ -9,8 +9,9 @@
 
 /**
  * The order to stop, carried out on the I/O thread. Connections that stand are served on for a while, then moved
- * step by step, and requests that are owed an answer get theirs. Those that still come are throttled until the
- * listening socket closes.
+ * step by step, and requests that are owed an answer get theirs. What becomes of those that still come depends on
+ * who has the listening socket: if it is this process's own, they are throttled until it closes; if another
+ * process accepts from it too, nothing more is accepted here, and all that was is served.
  */
 final class Stop {
   private final Limits limits;
@@ -30,6 +31,7 @@
     this.awaited = awaited;
   }
 
+  /** For a process that has the clients' listening socket for itself. */
   void begin(Listener own) {
     timers.after(limits.drainMost(), done::countDown);
     gate.close(() -> { });
@@ -39,6 +41,16 @@
     });
   }
 
+  /**
+   * For a process that shares it. Guards those whose line is still on its way: turned away, each of them would
+   * count against the upgrade. The others have where to go at once, and so all of the time is used to move them.
+   */
+  void handOver(Listener shared) {
+    timers.after(limits.drainMost(), done::countDown);
+    shared.suspend();
+    moveWithin(limits.drainAccept() + limits.drainHold() + limits.drainSpread());
+  }
+
   void await() throws InterruptedException {
     done.await();
   }
--- /dev/null
+++ b/src/test/java/lemondeal/InheritedTest.java
@@ -0,0 +1,91 @@
+package lemondeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The program with its clients' socket as descriptor 0, as the platform starts it. No JVM can hand that down. */
+@Timeout(60)
+class InheritedTest {
+  private static final String HAND_DOWN = "socket(S, AF_INET, SOCK_STREAM, 0)"
+      + " && bind(S, pack_sockaddr_in(0, INADDR_LOOPBACK)) && listen(S, 64)"
+      + " && open(STDIN, '<&S') && exec(@ARGV) or die $!";
+
+  private static final long PATIENCE_S = 20;
+  private static final String KNOWN = """
+      [{"instanceId":"s-1","hostPort":"127.0.0.1:9","zone":"a","machineType":"toy","lifecycle":"in_service"}]""";
+
+  @TempDir
+  Path folder;
+
+  /** With one server in the list from before, since no discovery answers. It ends soon, whatever comes. */
+  private Process start() throws IOException {
+    String example = Files.readString(Path.of("example/config.json"));
+    Path file = Files.writeString(folder.resolve("config.json"),
+        example.replace("\"instances\": []", "\"instances\": " + KNOWN));
+    ProcessBuilder builder = new ProcessBuilder("perl", "-MSocket", "-e", HAND_DOWN,
+        Path.of(System.getProperty("java.home"), "bin", "java").toString(), "-cp",
+        System.getProperty("java.class.path"), "lemondeal.Main", "serve");
+    // An address that cannot be bound: it must not be tried.
+    builder.environment().putAll(Map.of("GW_CONFIG", file.toString(), "GW_LISTEN", "192.0.2.1:1",
+        "GW_DISCOVERY", "127.0.0.1:1", "GW_ACCEPT_FD", "0", "GW_ADMIN_ADDR", "127.0.0.1:0"));
+    Process program = builder.start();
+    CompletableFuture.delayedExecutor(PATIENCE_S, TimeUnit.SECONDS).execute(program::destroyForcibly);
+    return program;
+  }
+
+  private static String await(BufferedReader log, String part) throws IOException {
+    for (String line = log.readLine(); line != null; line = log.readLine()) {
+      if (line.contains(part)) {
+        return line;
+      }
+    }
+    throw new AssertionError("the log ends without " + part);
+  }
+
+  private static String ask(int port, String call) throws IOException {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      socket.getOutputStream().write((call + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+      return new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.ISO_8859_1)).readLine();
+    }
+  }
+
+  private static int port(String line) {
+    return Integer.parseInt(line.substring(line.lastIndexOf(':') + 1));
+  }
+
+  /** When the JDK's inherited channel is closed, it silences the log: descriptors 0 to 2 become /dev/null. */
+  @Test
+  void servesOnTheInheritedSocketAndKeepsItsLog() throws Exception {
+    Process program = start();
+    try (BufferedReader log = program.errorReader(StandardCharsets.ISO_8859_1)) {
+      int clients = port(await(log, "listening on "));
+      int admin = port(await(log, "second address "));
+      await(log, "ready");
+      assertEquals("200 yes", ask(admin, "ready"));
+      assertEquals("PONG", ask(clients, "PING"));
+      // Not by the process itself: that would close its log here.
+      program.toHandle().destroy();
+      await(log, "stopping");
+      await(log, "stopped");
+      assertTrue(program.waitFor(10, TimeUnit.SECONDS));
+      assertEquals(0, program.exitValue());
+    } finally {
+      program.destroyForcibly();
+    }
+  }
+}
