Tell a quiet connection from a silent server: one of them emptied half of a sound one

Ruled out: slow servers, whose LOAD lines said 36 to 98 ms; pieces, which are passed on as they come (Execution.pass). At fault: ClientLink.waiting, which told DelayMeter.measured of one connection as if it were its server.

Now a silence is the server's only if two connections wait and nothing, not even part of a line, has come from it since the line went out. Not taken: probing at the first silence, which costs every server work for each client that goes quiet.

--- a/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/src/main/java/lemondeal/proxy/ClientLink.java
@@ -250,7 +250,7 @@
   }
 
   private void waiting(long micros) {
-    context.delays().measured(context.now(), id, execution.number(), execution.server(), micros);
+    context.delays().waiting(context.now(), id, execution.number(), execution.server(), micros);
   }
 
   void lineFromServer(Execution from, ServerLine line) {
--- a/src/main/java/lemondeal/proxy/DelayMeter.java
+++ b/src/main/java/lemondeal/proxy/DelayMeter.java
@@ -14,13 +14,21 @@
  */
 final class DelayMeter {
 
+  private static final long NEVER = Long.MIN_VALUE / 2;
+
   private static final class Server {
-    long notedAt = Long.MIN_VALUE / 2;
+    long notedAt = NEVER;
     boolean slow;
+    /** When something last came from it. */
+    long heardAt = NEVER;
+    /** The connection that was last told to wait while nothing came, and when; null if there is none. */
+    String waiting;
+    long waitingAt = NEVER;
   }
 
   private final long threshold;
   private final long pause;
+  private final long together;
   private final Consumer<MessageDelay> told;
   private final Map<String, Server> servers = new HashMap<>();
 
@@ -31,12 +39,42 @@
     }
     threshold = shortest == Long.MAX_VALUE ? shortest : (long) (shortest * limits.noteShare());
     pause = limits.noteEvery();
+    together = limits.noteEvery() + limits.unease();
     this.told = told;
   }
 
+  /** Something came from this server, on whichever connection. */
+  void heard(long now, String server) {
+    Server s = server(server);
+    s.heardAt = now;
+    s.waiting = null;
+  }
+
+  private Server server(String name) {
+    return servers.computeIfAbsent(name, added -> new Server());
+  }
+
+  /**
+   * A line of this execution has waited so long for an answer. Guards against one connection that falls quiet while
+   * its server serves all others: told as the server's delay, it once sent half of the clients away from a sound
+   * server. A silence is the server's only if two connections wait and nothing has come on any other meanwhile.
+   */
+  void waiting(long now, String id, int attempt, String server, long micros) {
+    Server s = server(server);
+    if (s.heardAt > now - micros) {
+      return;
+    }
+    boolean another = s.waiting != null && !s.waiting.equals(id) && now - s.waitingAt <= together;
+    if (another) {
+      measured(now, id, attempt, server, micros);
+    }
+    s.waiting = id;
+    s.waitingAt = now;
+  }
+
   /** A message of this execution took so long from line to answering line. */
   void measured(long now, String id, int attempt, String server, long micros) {
-    Server s = servers.computeIfAbsent(server, name -> new Server());
+    Server s = server(server);
     boolean over = micros > threshold;
     if ((over || s.slow) && now - s.notedAt >= pause) {
       s.notedAt = now;
--- a/src/main/java/lemondeal/proxy/Execution.java
+++ b/src/main/java/lemondeal/proxy/Execution.java
@@ -136,6 +136,7 @@
         awaitUp(bytes);
       }
       if (up && !over && bytes.hasRemaining()) {
+        context.delays().heard(context.now(), server);
         pass(bytes);
       }
     } catch (ProtocolException e) {
--- a/src/test/java/lemondeal/proxy/ProxyTest.java
+++ b/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -259,7 +259,10 @@
     try (Site site = new Site(ProxyTest::sendOnce)) {
       Peer client = site.client(OPEN);
       Peer server = up(site, client);
+      Peer another = site.client(OPEN);
+      up(site, another);
       client.send("anyone there?\r\n");
+      another.send("and here?\r\n");
       double first = site.await(MessageDelay.class).millis();
       assertTrue(first >= 400 && site.await(MessageDelay.class).millis() >= first + 900, "first told after " + first);
       server.send("here\r\n");
@@ -267,13 +270,43 @@
     }
   }
 
+  /** One connection that fell quiet once had half of the clients sent away from a server that served them all. */
+  @Test
+  void aQuietConnectionIsNotTakenForASilentServer() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer quiet = site.client(OPEN);
+      up(site, quiet);
+      Peer lively = site.client(OPEN);
+      Peer server = up(site, lively);
+      quiet.send("anyone there?\r\n");
+      long from = System.nanoTime();
+      while (System.nanoTime() - from < 3 * site.limits().unease() * 1000) {
+        lively.send("hello\r\n");
+        // Part of a line is a sign of life too.
+        server.send("hel");
+        server.line();
+        server.send("lo\r\n");
+        assertEquals("hello", lively.line());
+      }
+      assertFalse(site.events.stream().anyMatch(MessageDelay.class::isInstance));
+      Peer third = site.client(OPEN);
+      up(site, third);
+      lively.send("and me?\r\n");
+      third.send("and me?\r\n");
+      site.await(MessageDelay.class);
+    }
+  }
+
   /** The word on a silence may move the very client that waits: its timer once ran on and failed. */
   @Test
   void aClientMovedForASilenceIsLeftAlone() throws Exception {
     ByteArrayOutputStream log = new ByteArrayOutputStream();
     try (Site site = new Site(and(MessageDelay.class, e -> new Move(e.id())), new PrintStream(log, true))) {
+      Peer another = site.client(OPEN);
+      up(site, another);
       Peer client = site.client(OPEN);
       up(site, client);
+      another.send("anyone there?\r\n");
       client.send("anyone there?\r\n");
       assertEquals("MOVE", client.line());
       site.await(Ended.class);
--- a/src/test/java/lemondeal/proxy/Site.java
+++ b/src/test/java/lemondeal/proxy/Site.java
@@ -40,6 +40,8 @@
     Peer(Socket socket) throws IOException {
       this.socket = socket;
       socket.setSoTimeout(PATIENCE_MS);
+      // Pieces go out at once, as they are sent.
+      socket.setTcpNoDelay(true);
     }
 
     Peer send(String text) throws IOException {
