--- a/src/main/java/lemondeal/config/Limits.java
+++ b/src/main/java/lemondeal/config/Limits.java
@@ -68,8 +68,9 @@
   /** Connections accepted in one go before the oldest of a full crowd are closed. */
   private static final int ACCEPT_SLACK = 6;
   private static final int RING_BYTES = 8192;
-  /** Share of the memory that rings may take. */
+  /** Share of the memory that rings may take, and what the JVM's flags leave for them in any case. */
   private static final int RINGS_PART = 8;
+  private static final int RINGS_MOST_MB = 12;
 
   /** A stop may take as long as the longest deadline, counted as this where it is longer, and somewhat more. */
   private static final long DRAIN_DEADLINE = 3 * SECOND;
@@ -91,7 +92,7 @@
     int lingering = idle / 3;
     int newcomers = idle - lingering - ACCEPT_SLACK;
     int bySockets = (sockets - OWN_FILES - OWN_SOCKETS - ADMIN_FILES - idle) / 2;
-    int byMemory = (int) Math.min(Integer.MAX_VALUE, ((long) memoryMb << 20) / RINGS_PART / (2 * RING_BYTES));
+    int byMemory = (Math.min(memoryMb / RINGS_PART, RINGS_MOST_MB) << 20) / (2 * RING_BYTES);
     int clients = Math.min(bySockets, byMemory);
     if (clients < 1) {
       throw new ConfigException("limits: " + sockets + " sockets and " + memoryMb + " MB leave no room for clients");
--- a/src/main/java/lemondeal/net/Net.java
+++ b/src/main/java/lemondeal/net/Net.java
@@ -6,7 +6,10 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.FutureTask;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import lemondeal.config.Limits;
@@ -21,6 +24,12 @@
 /** XNIO with one I/O thread, on which everything runs; opens and accepts links. */
 public final class Net {
   private static final int SCRATCH_BYTES = 16 * 1024;
+  /**
+   * Stands in for the library's pool of task threads, of which nothing here makes use. Its own pool brings up the
+   * JDK's management server, which took a third of the time of a start.
+   */
+  private static final ExecutorService NO_TASKS = new ThreadPoolExecutor(0, 1, 1, TimeUnit.SECONDS,
+      new LinkedBlockingQueue<>());
   private static final OptionMap SOCKETS = OptionMap.builder().set(Options.TCP_NODELAY, true).getMap();
 
   private final Limits limits;
@@ -37,12 +46,12 @@
     this.faults = faults;
     lingering = new Crowd<>(limits::lingering, Link::close);
     rings = new RingPool(limits.ringBytes());
-    worker = Xnio.getInstance().createWorker(OptionMap.builder()
-        .set(Options.WORKER_NAME, "lemondeal")
-        .set(Options.WORKER_IO_THREADS, 1)
-        .set(Options.WORKER_TASK_CORE_THREADS, 0)
-        .set(Options.WORKER_TASK_MAX_THREADS, 1)
-        .set(Options.THREAD_DAEMON, false).getMap());
+    worker = Xnio.getInstance().createWorkerBuilder()
+        .setWorkerName("lemondeal")
+        .setWorkerIoThreads(1)
+        .setDaemon(false)
+        .setExternalExecutorService(NO_TASKS)
+        .build();
     thread = worker.getIoThread();
   }
 
