Look again before a dial has timed out: a starting proxy took sound servers for dead

At fault: Dial.start, whose timer of 150 ms runs before the selector is asked again, when the process itself stood still that long; the connection was up.

Now the timer asks once more after 30 ms. Not taken: a longer time to connect, which every dead server would cost in full. The same for probes' answers was tried: its test passed without the change, since what has come is read before those timers run, so it was left out.

--- a/src/main/java/lemondeal/net/Dial.java
+++ b/src/main/java/lemondeal/net/Dial.java
@@ -23,11 +23,19 @@
   }
 
   void start(InetSocketAddress address, long micros) {
-    timeout = net.timers().after(micros, this::fail);
+    timeout = net.timers().after(micros, this::late);
     future = net.open(address);
     future.addNotifier((result, unused) -> net.later(() -> settled(result)), null);
   }
 
+  /**
+   * Looks again a moment later. Guards against a pause of the proxy itself, as in its first second on part of a core:
+   * the connection may have come up meanwhile and only not been seen, and its server would be taken for dead.
+   */
+  private void late() {
+    timeout = net.timers().after(net.limits().moment(), this::fail);
+  }
+
   /** Calls the dial off; nothing is told any more. */
   public void cancel() {
     if (!over) {
--- a/src/test/java/lemondeal/proxy/ProxyTest.java
+++ b/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -327,6 +327,30 @@
     }
   }
 
+  /**
+   * The time to connect once ran out while the proxy itself stood still, as a starting one does on part of a core:
+   * servers were taken for dead, and clients were sent on from one to the next.
+   */
+  @Test
+  void aPauseOfItsOwnIsNotTakenForADeadServer() throws Exception {
+    try (Site site = new Site(event -> {
+      if (event instanceof Arrived e) {
+        Send send = new Send(e.request().id(), Site.SERVER, 0);
+        // The second can't be sent, and the word on it comes before anything is read.
+        return List.of(send, send);
+      }
+      return event instanceof Ended e && e.outcome() == Outcome.NOT_SENT ? pause() : sendOnce(event);
+    })) {
+      up(site, site.client(OPEN));
+    }
+  }
+
+  private static List<Action> pause() {
+    // There is no event to wait for: time passing with nothing read is what is tested.
+    assertDoesNotThrow(() -> Thread.sleep(700));
+    return List.of();
+  }
+
   @Test
   void probesAndReadsTheReport() throws Exception {
     try (Site site = new Site(and(Arrived.class, e -> new Probe(Site.SERVER)))) {
