--- a/src/main/java/lemondeal/config/Config.java
+++ b/src/main/java/lemondeal/config/Config.java
@@ -72,7 +72,7 @@
         family.flag("tellsDelay") && !family.flag("tellsLoad"),
         Limits.of((int) limits.whole("sockets", DEFAULT_SOCKETS), (int) limits.whole("memory_mb", DEFAULT_MEMORY_MB),
             permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE),
-            longestDeadline(settings.parts("profiles"))));
+            longestDeadline(settings.parts("profiles")), inherited(environment.getOrDefault("GW_ACCEPT_FD", ""))));
   }
 
   /**
--- a/src/main/java/lemondeal/proxy/Proxy.java
+++ b/src/main/java/lemondeal/proxy/Proxy.java
@@ -81,7 +81,7 @@
     context = new Context(config, net, wheel, group, decisions, delays, figures);
     requests = new Requests(limits.clients());
     gate = new Gate(requests);
-    newcomers = new Crowd<>(() -> limits.newcomers() + 2 * requests.left(), Newcomer::makeRoom);
+    newcomers = new Crowd<>(() -> limits.newcomers(requests.left()), Newcomer::makeRoom);
     stop = new Stop(limits, wheel, gate, requests, () -> !newcomers.isEmpty());
   }
 
--- a/src/test/java/lemondeal/config/ConfigTest.java
+++ b/src/test/java/lemondeal/config/ConfigTest.java
@@ -75,4 +75,15 @@
       assertTrue(limits.accepted() <= sockets - 40, "room for files, probes and lists");
     }
   }
+
+  /** Two processes side by side once could hold twice the descriptors of one machine. */
+  @Test
+  void twoProcessesTogetherFitOneMachine() {
+    for (int sockets : new int[] {592, 716, 1024}) {
+      Limits limits = Limits.of(sockets, 208, 150_000, 5_000_000, 2_000_000, true);
+      assertTrue(limits.clients() >= sockets / 3, "either may have them all: " + limits.clients());
+      int idle = 2 * (limits.newcomers(limits.clients() - sockets / 6) + limits.lingering());
+      assertTrue(2 * sockets / 3 + idle + 2 * 48 <= sockets, idle + " without a request, of " + sockets);
+    }
+  }
 }
--- a/src/test/java/lemondeal/proxy/ProxyTest.java
+++ b/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -12,9 +13,11 @@
 import java.io.InputStreamReader;
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
+import java.net.SocketTimeoutException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Function;
 import lemondeal.Balancer.Action;
 import lemondeal.Balancer.Adopted;
@@ -195,6 +198,29 @@
     }
   }
 
+  /** A client in the middle of a line was once cut off 0.8 s after the decision, though its server went on with it. */
+  @Test
+  void aMoveWaitsForTheRestOfALine() throws Exception {
+    List<String> ids = new CopyOnWriteArrayList<>();
+    try (Site site = new Site(and(LoadChanged.class, e -> new Move(ids.get(0))))) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      ids.add(site.await(Established.class).id());
+      server.send("hel");
+      for (char c : "hel".toCharArray()) {
+        assertEquals(c, client.socket.getInputStream().read());
+      }
+      up(site, site.client(OPEN)).send("LOAD 1\r\n");
+      site.await(LoadChanged.class);
+      // Nothing happens until then: that a pause in a line ends nothing is what is tested.
+      client.socket.setSoTimeout(1200);
+      assertThrows(SocketTimeoutException.class, () -> client.socket.getInputStream().read());
+      server.send("lo\r\n");
+      assertEquals("lo", client.line());
+      assertEquals("MOVE", client.line());
+    }
+  }
+
   @Test
   void adoptsWithoutADecision() throws Exception {
     try (Site site = new Site(ProxyTest::sendOnce)) {
