--- a/src/main/java/lemondeal/config/Config.java
+++ b/src/main/java/lemondeal/config/Config.java
@@ -46,8 +46,8 @@
 
   /** Whether nothing but discovery's address differs, of what a running proxy could take over. */
   public boolean runsAs(Config other) {
-    return name.equals(other.name) && listen.equals(other.listen) && Objects.equals(admin, other.admin) && settings.equals(other.settings)
-        && limits.equals(other.limits);
+    return name.equals(other.name) && listen.equals(other.listen) && Objects.equals(admin, other.admin)
+        && settings.equals(other.settings) && limits.equals(other.limits);
   }
 
   private static Config read(Map<String, String> environment, Config before) {
