--- a/src/main/java/lemondeal/config/Config.java
+++ b/src/main/java/lemondeal/config/Config.java
@@ -61,10 +61,11 @@
     Part limits = root.part("limits");
     Part family = settings.part("familyInfo");
     String discoveryInFile = root.text("discovery", "");
+    boolean inherited = inherited(environment.getOrDefault("GW_ACCEPT_FD", ""));
     return new Config(
         environment.getOrDefault("GW_NAME", root.text("name", "proxy")),
         address("listen", environment.getOrDefault("GW_LISTEN", root.text("listen", ""))),
-        inherited(environment.getOrDefault("GW_ACCEPT_FD", "")),
+        inherited,
         admin(environment.getOrDefault("GW_ADMIN_ADDR", root.text("admin_addr", ""))),
         discovery(environment, discoveryInFile, before), discoveryInFile,
         seed(root.text("seed", "0")), root.part("known").values(), SettingsReader.read(settings.values()),
@@ -72,7 +73,7 @@
         family.flag("tellsDelay") && !family.flag("tellsLoad"),
         Limits.of((int) limits.whole("sockets", DEFAULT_SOCKETS), (int) limits.whole("memory_mb", DEFAULT_MEMORY_MB),
             permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE),
-            longestDeadline(settings.parts("profiles")), inherited(environment.getOrDefault("GW_ACCEPT_FD", ""))));
+            longestDeadline(settings.parts("profiles")), inherited));
   }
 
   /**
--- a/src/main/java/lemondeal/config/Limits.java
+++ b/src/main/java/lemondeal/config/Limits.java
@@ -48,8 +48,8 @@
  */
 public record Limits(int lineBytes, int ringBytes, int listLineBytes, int turnBytes, int lingerBytes, int clients,
     boolean shared, int newcomers, int lingering, int accepted, int accepts, int adminCallers, int adminLine,
-    long adminCall, long listWithin, long tick, int wheelSlots, long dial, long answerLead, long firstLine, long silence, long unease,
-    long moment, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe,
+    long adminCall, long listWithin, long tick, int wheelSlots, long dial, long answerLead, long firstLine,
+    long silence, long unease, long moment, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe,
     long probeIdle, long watchSilence, long adoptPause, long adoptFor, long throttleFor, long drainAccept,
     long drainHold, long drainStep, long drainSpread, long drainMost) {
 
--- a/src/main/java/lemondeal/proxy/Context.java
+++ b/src/main/java/lemondeal/proxy/Context.java
@@ -9,11 +9,7 @@
 
 /** What every connection of this proxy works with. */
 record Context(Config config, Net net, Timers timers, HostGroup group, Decisions decisions, DelayMeter delays,
-    Figures figures) {
-
-  FinalAnswer answers() {
-    return new FinalAnswer(figures);
-  }
+    Figures figures, FinalAnswer answers) {
 
   Limits limits() {
     return config.limits();
--- a/src/main/java/lemondeal/proxy/Proxy.java
+++ b/src/main/java/lemondeal/proxy/Proxy.java
@@ -78,7 +78,7 @@
     discovery = new Discovery(net, wheel, limits, config.discovery(), group, this::listed);
     DelayMeter delays = new DelayMeter(config.settings(), limits, decisions::tell);
     figures = new Figures(config.names().classes());
-    context = new Context(config, net, wheel, group, decisions, delays, figures);
+    context = new Context(config, net, wheel, group, decisions, delays, figures, new FinalAnswer(figures));
     requests = new Requests(limits.clients());
     gate = new Gate(requests);
     newcomers = new Crowd<>(() -> limits.newcomers(requests.left()), Newcomer::makeRoom);
