Split the build into two Maven modules, proxy and lab

Need: stand-ins and tools of the project's own want a place that never goes to the platform, and what is to come (resumable moves, sources of servers, an emulator) needs them. Nothing else changes.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # build, test, lint and run; see README.md.
 MAVEN := mvn -B
-JAR := target/lemondeal.jar
-ARCHIVE := target/lemondeal.jsa
+JAR := proxy/target/lemondeal.jar
+ARCHIVE := proxy/target/lemondeal.jsa
 # Memory is bounded on every side: heap, classes, code, stacks and buffers off the heap; in all to about half of the
 # least machine on which two processes ever run side by side.
 JAVA := java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms16m -Xmx32m -XX:MaxMetaspaceSize=24m \
@@ -12,14 +12,14 @@
 build: jar archive
 
 jar:
-	$(MAVEN) -q -DskipTests package
+	$(MAVEN) -q -DskipTests -pl proxy package
 
 # A start that records which classes it loads: later starts map them instead of reading them anew. Without
 # the archive the program starts as well, only slower, so a failure here stops nothing.
 archive:
 	rm -f $(ARCHIVE)
 	-GW_CONFIG=example/config.json GW_LISTEN=127.0.0.1:0 GW_ADMIN_ADDR=127.0.0.1:0 timeout -s TERM 4 \
-		$(JAVA) -XX:ArchiveClassesAtExit=$(ARCHIVE) -jar $(JAR) serve >target/archive.log 2>&1
+		$(JAVA) -XX:ArchiveClassesAtExit=$(ARCHIVE) -jar $(JAR) serve >proxy/target/archive.log 2>&1
 
 test:
 	$(MAVEN) verify
--- a/src/test/java/lemondeal/EmbeddingTest.java
+++ b/proxy/src/test/java/lemondeal/EmbeddingTest.java
@@ -52,7 +52,7 @@
     String source = Files.readString(Path.of("src/test/java/lemondeal/EmbeddingTest.java"));
     int from = source.indexOf("\n", source.indexOf("// README example starts")) + 1;
     String example = source.substring(from, source.indexOf("    // README example ends"));
-    assertTrue(Files.readString(Path.of("README.md")).contains(example));
+    assertTrue(Files.readString(Path.of("../README.md")).contains(example));
   }
 
   private long now() {
--- a/src/test/java/lemondeal/InheritedTest.java
+++ b/proxy/src/test/java/lemondeal/InheritedTest.java
@@ -34,7 +34,7 @@
 
   /** With one server in the list from before, since no discovery answers. It ends soon, whatever comes. */
   private Process start() throws IOException {
-    String example = Files.readString(Path.of("example/config.json"));
+    String example = Files.readString(Path.of("../example/config.json"));
     Path file = Files.writeString(folder.resolve("config.json"),
         example.replace("\"instances\": []", "\"instances\": " + KNOWN));
     ProcessBuilder builder = new ProcessBuilder("perl", "-MSocket", "-e", HAND_DOWN,
--- a/src/test/java/lemondeal/ReloadTest.java
+++ b/proxy/src/test/java/lemondeal/ReloadTest.java
@@ -36,7 +36,7 @@
   };
 
   private Map<String, String> write(int port) throws IOException {
-    String example = Files.readString(Path.of("example/config.json"));
+    String example = Files.readString(Path.of("../example/config.json"));
     Path file = folder.resolve("config.json");
     Files.writeString(file, example.replace("127.0.0.1:" + OLD, "127.0.0.1:" + port));
     return Map.of("GW_CONFIG", file.toString(), "GW_DISCOVERY", "127.0.0.1:" + OLD);
--- a/src/test/java/lemondeal/config/ConfigTest.java
+++ b/proxy/src/test/java/lemondeal/config/ConfigTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.io.TempDir;
 
 class ConfigTest {
-  private static final Path EXAMPLE = Path.of("example/config.json");
+  private static final Path EXAMPLE = Path.of("../example/config.json");
 
   @TempDir
   Path folder;
