Split what a connection tells of its server out of ClientLink

Change: ServerNotes holds the lines not answered, the delays and the loads that are told to the module, from UP on; nothing else moves. Behaviour is the same, by the tests.

--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -5,9 +5,7 @@
 import lemondeal.Balancer.ClientGone;
 import lemondeal.Balancer.Ended;
 import lemondeal.Balancer.Established;
-import lemondeal.Balancer.LoadChanged;
 import lemondeal.Balancer.LoadReport;
-import lemondeal.Balancer.MessageDelay;
 import lemondeal.Balancer.Outcome;
 import lemondeal.Balancer.Request;
 import java.nio.ByteBuffer;
@@ -32,7 +30,6 @@
   private final Gate gate;
   private final Link link;
   private final LineParser lines;
-  private final Unanswered unanswered;
   private final OpenLine open;
   private final int requestClass;
   private State state = State.WAITING;
@@ -41,6 +38,8 @@
   private long adoptUntil;
   private int attempts;
   private Execution execution;
+  /** From UP on. */
+  private ServerNotes notes;
   private Timers.Timer timer;
   private boolean moving;
   private boolean clientEnded;
@@ -53,7 +52,6 @@
     this.open = open;
     this.requestClass = requestClass;
     lines = new LineParser(context.limits().lineBytes());
-    unanswered = new Unanswered(context, link, this::waiting, () -> moveNow(Outcome.RESET));
   }
 
   /** The gate must have room. */
@@ -166,6 +164,7 @@
   void up(Execution from, String line) {
     state = State.UP;
     Timers.cancel(timer);
+    notes = new ServerNotes(context, link, id, from, () -> moveNow(Outcome.RESET));
     link.send(line + "\r\n");
     context.figures().served(requestClass);
     if (isAdoption()) {
@@ -233,7 +232,9 @@
   private void leave() {
     state = State.OVER;
     Timers.cancel(timer);
-    unanswered.stop();
+    if (notes != null) {
+      notes.stop();
+    }
     gate.leave(id);
   }
 
@@ -243,44 +244,19 @@
     ByteBuffer looked = bytes.duplicate();
     while (looked.hasRemaining()) {
       if (lines.next(looked) != null) {
-        unanswered.lineSent();
+        notes.clientLine();
       }
     }
     execution.link().send(bytes);
   }
 
-  private void waiting(long micros) {
-    context.delays().waiting(context.now(), id, execution.number(), execution.server(), micros);
-  }
-
-  void lineFromServer(Execution from, ServerLine line) {
-    if (line.kind() == ServerLine.Kind.LOAD) {
-      note(from, line.number());
-    } else {
-      long took = unanswered.lineCame();
-      if (took >= 0) {
-        context.delays().measured(context.now(), id, from.number(), from.server(), took);
-      }
-    }
+  void lineFromServer(ServerLine line) {
+    notes.serverLine(line);
     if (moving) {
       moveNow(Outcome.CANCELLED);
     }
   }
 
-  /**
-   * Guards against a server's delay being taken for a connection's load: both come as LOAD, and the settings
-   * say which of the two servers tell. The answer to a client's line comes at once even from a slow server,
-   * so that this is where its delay shows.
-   */
-  private void note(Execution from, double figure) {
-    if (!(figure >= 0)) {
-      return;
-    }
-    context.decisions().tell(context.config().loadIsDelay()
-        ? new MessageDelay(id, from.number(), from.server(), figure)
-        : new LoadChanged(id, from.number(), from.server(), figure));
-  }
-
   /**
    * Bytes that {@link #pass} takes now, with room for a MOVE kept back. Guards against a client that reads
    * slowly: what the server's side has room for says nothing of the client's.
--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -174,7 +174,7 @@
       client.pass(bytes.duplicate().limit(bytes.position()).position(start));
       if (line != null) {
         last = ServerLine.parse(line);
-        client.lineFromServer(this, last);
+        client.lineFromServer(last);
       }
     }
     bytes.position(bytes.limit());
