Move a session's connection to another server with a token, between real processes

Need: clients that are moved begin their stream again and growers see their counts restated. Change: resume tokens (protobuf, HMAC-SHA256), keys, claims by compare-and-set (memory, disk, a fleet's store over gRPC), the pure rules of both, and Continuity, which ClientLink and Execution ask at the few places where a session differs from a plain connection. With it the operator's own YAML file with a schema, a command line on picocli (serve, benchlink, check-config, keys, token, completion) and a log as JSON lines on Logback with the Logstash encoder.

--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/stream/StreamSite.java
@@ -0,0 +1,182 @@
+package lemondeal.lab.stream;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import lemondeal.lab.Listing;
+import lemondeal.lab.ServeProcess;
+import lemondeal.lab.claims.ClaimStoreServer;
+
+/** A small site on loopback: real proxies in processes of their own, stand-in servers, discovery and claim store. */
+public final class StreamSite implements AutoCloseable {
+  public static final String CLASS = "order-sync";
+
+  private final Path folder;
+  private final Listing listing = new Listing();
+  private final SessionStore store = new SessionStore();
+  private final ClaimStoreServer claims;
+  private final Map<String, StreamServer> servers = new LinkedHashMap<>();
+  private final List<ServeProcess> proxies = new ArrayList<>();
+  private final AtomicInteger turn = new AtomicInteger();
+  private final Path operatorFile;
+
+  /**
+   * Starts so many proxies and servers.
+   *
+   * @param resume lines of the operator's section {@code resume} beside classes, keys and claims; null for no such file
+   */
+  public StreamSite(int proxyCount, int serverCount, String resume) throws IOException, InterruptedException {
+    folder = Files.createTempDirectory("lemondeal-lab");
+    claims = new ClaimStoreServer();
+    operatorFile = resume == null ? null : folder.resolve("operator.yaml");
+    if (resume != null) {
+      run("keys", "make", folder.resolve("keys.yaml").toString());
+      write(resume, "fleet, store: '127.0.0.1:" + claims.address().getPort() + "'");
+    }
+    for (int i = 1; i <= serverCount; i++) {
+      addServer("s-" + i);
+    }
+    for (int i = 0; i < proxyCount; i++) {
+      startProxy(i, proxyCount);
+    }
+  }
+
+  private void write(String resume, String claimsIn) throws IOException {
+    Files.writeString(operatorFile, """
+        version: 1
+        resume:
+          classes: [order-sync]
+          keys: keys.yaml
+          claims: {in: %s}
+        %s
+        """.formatted(claimsIn, resume.indent(2)));
+  }
+
+  /** Runs a command of the program to its end. */
+  public static String run(String... words) throws IOException, InterruptedException {
+    Process process = new ProcessBuilder(ServeProcess.command(words)).redirectErrorStream(true).start();
+    String said = new String(process.getInputStream().readAllBytes(), java.nio.charset.StandardCharsets.UTF_8);
+    if (process.waitFor() != 0) {
+      throw new IOException(String.join(" ", words) + ": " + said);
+    }
+    return said;
+  }
+
+  /** Starts proxy number {@code i} of so many, or starts it again. */
+  public void startProxy(int i, int count) throws IOException, InterruptedException {
+    String listen = i < proxies.size() ? "127.0.0.1:" + proxies.get(i).address().getPort() : "127.0.0.1:0";
+    Path config = folder.resolve("proxy-" + i + ".json");
+    Files.writeString(config, """
+        {"name":"n%d","listen":"%s","admin_addr":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"%x",
+         "limits":{"sockets":4096,"memory_mb":192},
+         "known":{"generation":0,"reset":true,"instances":[]},
+         "settings":{"slotNo":%d,"balancers":%d,"azs":["a"],"flavors":["m"],"membershipMode":"subscribe",
+           "familyInfo":{"mode":"proxy","groups":false,"messageAim":[1000000,1000000]},
+           "permissions":{"dialTimeout":500000,"keepalive":5000000,"cancelling":true,"retryAfter":true,
+             "maxRetryAfter":2000000,"tryLimit":3,"cpuUsPerS":1000000},
+           "rules":{"answerSlack":20000,"drainGrace":1000000,"fallMultiple":4.0,"overloadFor":2000000,
+             "coldFrom":0.35,"warmWithin":9000000},
+           "prices":{"crossZone":0.03,"waste":0.2,"probe":0.0023,"moves":0.01},
+           "profiles":[{"name":"order-sync","semantics":"idempotent","aim":500000,"hardLimit":2000000},
+             {"name":"chat","semantics":"idempotent","aim":500000,"hardLimit":2000000}]}}
+        """.formatted(i, listen, listing.address().getPort(), i + 1, i, count));
+    ServeProcess started = ServeProcess.start(config, operatorFile);
+    if (i < proxies.size()) {
+      proxies.set(i, started);
+    } else {
+      proxies.add(started);
+    }
+    started.await("ready");
+  }
+
+  /** Adds a fresh server under this id. */
+  public StreamServer addServer(String id) throws IOException {
+    StreamServer server = new StreamServer(store);
+    servers.put(id, server);
+    listing.list(id, server.address(), "in_service");
+    return server;
+  }
+
+  /** Drains the server as an operator would: told by discovery, and by the server to its clients. */
+  public void drain(String id) {
+    listing.list(id, servers.get(id).address(), "terminating");
+    servers.get(id).drain();
+  }
+
+  /** The server dies; discovery hears of it. */
+  public void kill(String id) {
+    servers.get(id).kill();
+    listing.list(id, servers.get(id).address(), "terminated");
+  }
+
+  /** The plain front: proxies in turn, those that are alive. */
+  public InetSocketAddress front() {
+    for (int i = 0; i < proxies.size(); i++) {
+      ServeProcess proxy = proxies.get(Math.floorMod(turn.getAndIncrement(), proxies.size()));
+      if (proxy.isAlive()) {
+        return proxy.address();
+      }
+    }
+    throw new IllegalStateException("no proxy is alive");
+  }
+
+  public List<ServeProcess> proxies() {
+    return proxies;
+  }
+
+  public StreamServer server(String id) {
+    return servers.get(id);
+  }
+
+  public SessionStore store() {
+    return store;
+  }
+
+  public ClaimStoreServer claims() {
+    return claims;
+  }
+
+  public Path folder() {
+    return folder;
+  }
+
+  /** Clients with a thread each; {@link #await} waits for them. */
+  public static List<Thread> start(List<ResumingClient> clients) {
+    List<Thread> threads = new ArrayList<>();
+    for (ResumingClient client : clients) {
+      Thread thread = new Thread(null, client, "client-" + client.name(), 256 * 1024);
+      thread.setDaemon(true);
+      thread.start();
+      threads.add(thread);
+    }
+    return threads;
+  }
+
+  public static void await(List<Thread> threads) throws InterruptedException {
+    for (Thread thread : threads) {
+      thread.join();
+    }
+  }
+
+  @Override
+  public void close() {
+    proxies.forEach(ServeProcess::close);
+    servers.values().forEach(StreamServer::kill);
+    listing.close();
+    claims.close();
+    try (Stream<Path> files = Files.walk(folder)) {
+      files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- a/proxy/src/main/java/lemondeal/Main.java
+++ b/proxy/src/main/java/lemondeal/Main.java
@@ -1,56 +1,33 @@
 package lemondeal;
 
 import java.io.IOException;
-import lemondeal.config.Addresses;
-import lemondeal.config.Config;
-import lemondeal.config.ConfigException;
-import lemondeal.proxy.Proxy;
+import java.util.Map;
 
-/** The program: {@code serve} runs one real proxy, {@code benchlink} the module on the simulator's wire. */
+/**
+ * The program's entry. The two words that the platform uses go straight to their work, since a command line's classes
+ * would cost them a part of their start; all else is read by {@code lemondeal.cli}.
+ */
 public final class Main {
-  private static final int BAD_USE = 2;
+  /** A command has started threads that go on: the program must not end. */
+  public static final int GOES_ON = -1;
 
   private Main() {}
 
   public static void main(String[] args) throws IOException {
-    String word = args.length == 1 ? args[0] : "";
-    switch (word) {
-      case "serve" -> serve();
-      case "benchlink" -> System.exit(lemondeal.benchlink.Main.host());
-      default -> {
-        System.err.println("usage: java -jar lemondeal.jar serve | benchlink");
-        System.exit(BAD_USE);
-      }
+    // XNIO's logging would look for other libraries' and start what it finds.
+    System.setProperty("org.jboss.logging.provider", "jdk");
+    int code = run(args, System.getenv());
+    if (code != GOES_ON) {
+      System.exit(code);
     }
   }
 
-  private static void serve() {
-    try {
-      Config config = Config.read(System.getenv());
-      Proxy proxy = new Proxy(config, new Logic(), System.err);
-      Reload reload = new Reload(config, System.getenv(), proxy::reconfigure, System.err);
-      Hangup.handle(reload::request);
-      proxy.start();
-      System.err.println("lemondeal: listening on " + Addresses.text(proxy.localAddress()));
-      if (proxy.adminAddress() != null) {
-        System.err.println("lemondeal: second address " + Addresses.text(proxy.adminAddress()));
-      }
-      Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(proxy), "stop"));
-    } catch (ConfigException | IOException e) {
-      System.err.println("lemondeal: " + e.getMessage());
-      System.exit(BAD_USE);
-    }
-  }
-
-  /** Runs on SIGTERM; the process ends when this returns. */
-  private static void stop(Proxy proxy) {
-    try {
-      System.err.println("lemondeal: stopping");
-      proxy.stop();
-      System.err.println("lemondeal: stopped");
-      Runtime.getRuntime().halt(0);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+  private static int run(String[] args, Map<String, String> environment) throws IOException {
+    String word = args.length == 1 ? args[0] : "";
+    if (word.equals("serve") && environment.getOrDefault("GW_OPERATOR_CONFIG", "").isEmpty()) {
+      int code = Serve.run(environment, null);
+      return code == 0 ? GOES_ON : code;
     }
+    return word.equals("benchlink") ? lemondeal.benchlink.Main.host() : FullProgram.run(args);
   }
 }
--- a/proxy/src/main/java/lemondeal/Reload.java
+++ b/proxy/src/main/java/lemondeal/Reload.java
@@ -1,12 +1,12 @@
 package lemondeal;
 
-import java.io.PrintStream;
 import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import lemondeal.config.Config;
+import lemondeal.log.EventLog;
 
 /**
  * Reads the configuration again when it is told to, off the I/O thread and one reload after the other. What is
@@ -17,17 +17,21 @@
 
   private final Map<String, String> environment;
   private final Consumer<Config> taker;
-  private final PrintStream log;
+  private final EventLog log;
   /** One thread at most, and none while nothing is to be read. */
   private final ThreadPoolExecutor thread = new ThreadPoolExecutor(0, 1, IDLE_SECONDS, TimeUnit.SECONDS,
       new LinkedBlockingQueue<>(), Reload::daemon);
+  /** What else is read anew; throws what can't be used. */
+  private final Runnable also;
   private Config config;
 
-  Reload(Config config, Map<String, String> environment, Consumer<Config> taker, PrintStream log) {
+  Reload(Config config, Map<String, String> environment, Consumer<Config> taker, EventLog log,
+      Runnable also) {
     this.config = config;
     this.environment = environment;
     this.taker = taker;
     this.log = log;
+    this.also = also;
   }
 
   private static Thread daemon(Runnable task) {
@@ -39,6 +43,7 @@
   /** Asks for a reload, from any thread. */
   void request() {
     thread.execute(this::read);
+    thread.execute(this::readAlso);
   }
 
   /** A mistake in a file, of whatever kind, must not end a proxy that is serving. */
@@ -46,11 +51,19 @@
     try {
       Config fresh = config.reread(environment);
       taker.accept(fresh);
-      log.println("lemondeal: configuration read anew, discovery at " + fresh.discovery()
+      log.info("reload", "lemondeal: configuration read anew, discovery at " + fresh.discovery()
           + (fresh.runsAs(config) ? "" : "; its other changes count from the next start"));
       config = fresh;
     } catch (RuntimeException e) {
-      log.println("lemondeal: the configuration stays as it was: " + e.getMessage());
+      log.warn("reload-refused", "lemondeal: the configuration stays as it was: " + e.getMessage());
+    }
+  }
+
+  private void readAlso() {
+    try {
+      also.run();
+    } catch (RuntimeException e) {
+      log.warn("operator-reload-refused", "lemondeal: the operator's file and keys stay as they were: " + e.getMessage().replace('\n', ';'));
     }
   }
 
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/Serve.java
@@ -0,0 +1,66 @@
+package lemondeal;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Map;
+import lemondeal.config.Addresses;
+import lemondeal.config.Config;
+import lemondeal.config.ConfigException;
+import lemondeal.log.EventLog;
+import lemondeal.log.PlainLog;
+import lemondeal.proxy.Proxy;
+
+/** Runs one real proxy until SIGTERM. */
+public final class Serve {
+  /** What can't be used was said in a line for each fault. */
+  private static final int BAD_USE = 2;
+
+  private Serve() {}
+
+  /**
+   * Starts the proxy; its threads go on when this returns.
+   *
+   * @param operatorFile the operator's own file, or null where there is none
+   * @return 0, or the exit code with which the program is to end
+   */
+  public static int run(Map<String, String> environment, Path operatorFile) {
+    try {
+      Config config = Config.read(environment);
+      Extras extras = operatorFile == null ? null : Extras.read(operatorFile, config);
+      EventLog log = extras == null ? new PlainLog(System.err) : extras.log();
+      Proxy proxy = new Proxy(config, new Logic(), log, extras == null ? null : extras.resumption());
+      Reload reload = new Reload(config, environment, proxy::reconfigure, log,
+          extras == null ? () -> { } : extras::reload);
+      Hangup.handle(reload::request);
+      proxy.start();
+      String address = Addresses.text(proxy.localAddress());
+      log.info("listening", "lemondeal: listening on " + address, "address", address);
+      if (proxy.adminAddress() != null) {
+        String second = Addresses.text(proxy.adminAddress());
+        log.info("second-address", "lemondeal: second address " + second, "address", second);
+      }
+      Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(proxy, extras, log), "stop"));
+      return 0;
+    } catch (ConfigException | IOException e) {
+      for (String line : e.getMessage().split("\n")) {
+        System.err.println("lemondeal: " + line);
+      }
+      return BAD_USE;
+    }
+  }
+
+  /** Runs on SIGTERM; the process ends when this returns. */
+  private static void stop(Proxy proxy, Extras extras, EventLog log) {
+    try {
+      log.info("stopping", "lemondeal: stopping");
+      proxy.stop();
+      if (extras != null) {
+        extras.close();
+      }
+      log.info("stopped", "lemondeal: stopped");
+      Runtime.getRuntime().halt(0);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/claims/FleetStore.java
@@ -0,0 +1,121 @@
+package lemondeal.claims;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import io.grpc.ManagedChannel;
+import io.grpc.Status;
+import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.stub.StreamObserver;
+import java.net.InetSocketAddress;
+import java.util.HexFormat;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import lemondeal.claims.wire.ClaimStoreGrpc;
+import lemondeal.claims.wire.CompareAndSetReply;
+import lemondeal.claims.wire.CompareAndSetRequest;
+import lemondeal.claims.wire.Entry;
+import lemondeal.claims.wire.ReadRequest;
+
+/**
+ * The states of a whole fleet, in a store that the operators run behind {@code claims.proto}. Each call has a deadline; a
+ * store that is away is told at once, as a fault. Answers come on the library's threads.
+ */
+public final class FleetStore implements CasStore {
+  private static final long CLOSE_SECONDS = 1;
+
+  private final ManagedChannel channel;
+  private final ClaimStoreGrpc.ClaimStoreStub stub;
+  private final long patience;
+
+  private FleetStore(ManagedChannel channel, long patience) {
+    this.channel = channel;
+    this.patience = patience;
+    stub = ClaimStoreGrpc.newStub(channel);
+  }
+
+  /** {@code patience}: milliseconds that a call may take. Connects when first used, and again whenever it has to. */
+  public static FleetStore open(InetSocketAddress address, long patience) {
+    ManagedChannel channel = NettyChannelBuilder.forAddress(address).usePlaintext()
+        .keepAliveTime(10, TimeUnit.SECONDS).build();
+    return new FleetStore(channel, patience);
+  }
+
+  @Override
+  public void read(String session, Consumer<Written> told) {
+    stub.withDeadlineAfter(patience, TimeUnit.MILLISECONDS).read(
+        ReadRequest.newBuilder().setKey(key(session)).build(),
+        new Once<Entry>(told, entry -> new Written(true, versioned(entry), "")));
+  }
+
+  @Override
+  public void compareAndSet(String session, long version, ClaimState state, Consumer<Written> told) {
+    CompareAndSetRequest request = CompareAndSetRequest.newBuilder()
+        .setKey(key(session))
+        .setExpectedVersion(version)
+        .setValue(StateCodec.write(state))
+        .setForgetAtMs(state.forgetAt())
+        .build();
+    stub.withDeadlineAfter(patience, TimeUnit.MILLISECONDS).compareAndSet(request,
+        new Once<CompareAndSetReply>(told, reply -> new Written(reply.getWritten(), versioned(reply.getNow()), "")));
+  }
+
+  private static ByteString key(String session) {
+    return ByteString.copyFrom(HexFormat.of().parseHex(session));
+  }
+
+  private static Versioned versioned(Entry entry) throws InvalidProtocolBufferException {
+    return entry.getVersion() == 0 ? new Versioned(0, ClaimState.NONE)
+        : new Versioned(entry.getVersion(), StateCodec.read(entry.getValue()));
+  }
+
+  @Override
+  public void close() {
+    channel.shutdown();
+    try {
+      // What was settled last is still on its way.
+      if (!channel.awaitTermination(CLOSE_SECONDS, TimeUnit.SECONDS)) {
+        channel.shutdownNow();
+      }
+    } catch (InterruptedException e) {
+      channel.shutdownNow();
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** A reply to a message. */
+  private interface Reader<T> {
+    Written read(T reply) throws InvalidProtocolBufferException;
+  }
+
+  /** Tells the one reply of a call, or its failure. */
+  private static final class Once<T> implements StreamObserver<T> {
+    private final Consumer<Written> told;
+    private final Reader<T> reader;
+
+    Once(Consumer<Written> told, Reader<T> reader) {
+      this.told = told;
+      this.reader = reader;
+    }
+
+    @Override
+    public void onNext(T reply) {
+      Written written;
+      try {
+        written = reader.read(reply);
+      } catch (InvalidProtocolBufferException e) {
+        written = new Written(false, null, "the store's value cannot be read");
+      }
+      told.accept(written);
+    }
+
+    @Override
+    public void onError(Throwable fault) {
+      told.accept(new Written(false, null, "the store: " + Status.fromThrowable(fault).getCode()));
+    }
+
+    @Override
+    public void onCompleted() {
+      // The reply has been told.
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/claims/StateCodec.java
@@ -0,0 +1,25 @@
+package lemondeal.claims;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+
+/** Claim states to protobuf and back. */
+final class StateCodec {
+  private StateCodec() {}
+
+  static ByteString write(ClaimState state) {
+    return lemondeal.claims.wire.ClaimState.newBuilder()
+        .setCommitted(state.committed())
+        .setFence(state.fence())
+        .setHolder(state.holder())
+        .setLeaseUntilMs(state.leaseUntil())
+        .setForgetAtMs(state.forgetAt())
+        .build().toByteString();
+  }
+
+  static ClaimState read(ByteString bytes) throws InvalidProtocolBufferException {
+    lemondeal.claims.wire.ClaimState state = lemondeal.claims.wire.ClaimState.parseFrom(bytes);
+    return new ClaimState(state.getCommitted(), state.getFence(), state.getHolder(), state.getLeaseUntilMs(),
+        state.getForgetAtMs());
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/cli/CheckConfig.java
@@ -0,0 +1,33 @@
+package lemondeal.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import lemondeal.operator.KeyFile;
+import lemondeal.operator.Operator;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** {@code check-config}: finds what a start would find, without a start. */
+@Command(name = "check-config", mixinStandardHelpOptions = true,
+    description = "Check an operator's file and the key file that it names; tell every fault with its place.")
+final class CheckConfig implements Callable<Integer> {
+  @Parameters(index = "0", paramLabel = "FILE", defaultValue = "${env:GW_OPERATOR_CONFIG}",
+      description = "The file; $GW_OPERATOR_CONFIG where it is not given.")
+  private Path file;
+
+  @Spec
+  private CommandSpec spec;
+
+  @Override
+  public Integer call() {
+    Operator operator = Operator.read(file);
+    if (operator.resume() != null) {
+      KeyFile.read(operator.resume().keys());
+    }
+    spec.commandLine().getOut().println(file + ": can be used");
+    return CommandLine.ExitCode.OK;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/cli/Lemondeal.java
@@ -0,0 +1,86 @@
+package lemondeal.cli;
+
+import java.nio.file.Path;
+import lemondeal.Main;
+import lemondeal.Serve;
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** The command line. Exit codes: 0 done, 1 failed, 2 bad use or bad input. */
+@Command(name = "lemondeal", mixinStandardHelpOptions = true, versionProvider = Lemondeal.Version.class,
+    description = "A proxy for long-lived connections, and the commands that go with it.",
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {"0:done", "1:failed", "2:bad use or bad input, told in a line for each fault"},
+    subcommands = {Lemondeal.ServeCommand.class, Lemondeal.Benchlink.class, CheckConfig.class, KeysCommand.class,
+        TokenCommand.class, AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class})
+public final class Lemondeal implements Runnable {
+  @Spec
+  private CommandSpec spec;
+
+  /** Runs the command; the program is to end with what comes back, unless that is {@link Main#GOES_ON}. */
+  public static int run(String[] args) {
+    CommandLine line = new CommandLine(new Lemondeal());
+    line.setParameterExceptionHandler(Lemondeal::badUse);
+    line.setExecutionExceptionHandler(Lemondeal::failed);
+    return line.execute(args);
+  }
+
+  /** One clear line; the usage is there for whoever asks with --help. */
+  private static int badUse(ParameterException e, String[] args) {
+    CommandLine at = e.getCommandLine();
+    at.getErr().println("lemondeal: " + e.getMessage().replace('\n', ' ') + " ('" + at.getCommandSpec().qualifiedName()
+        + " --help' tells more)");
+    return CommandLine.ExitCode.USAGE;
+  }
+
+  private static int failed(Exception e, CommandLine at, CommandLine.ParseResult parsed) {
+    for (String line : String.valueOf(e.getMessage()).split("\n")) {
+      at.getErr().println("lemondeal: " + line);
+    }
+    boolean input = e instanceof lemondeal.operator.FileFaults || e instanceof IllegalArgumentException;
+    return input ? CommandLine.ExitCode.USAGE : CommandLine.ExitCode.SOFTWARE;
+  }
+
+  @Override
+  public void run() {
+    throw new ParameterException(spec.commandLine(), "a command is missing");
+  }
+
+  /** {@code --version}. */
+  static final class Version implements CommandLine.IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String version = Lemondeal.class.getPackage().getImplementationVersion();
+      return new String[] {"lemondeal " + (version == null ? "(not packaged)" : version)};
+    }
+  }
+
+  /** {@code serve}, with what the bare word in {@code Main} does not take. */
+  @Command(name = "serve", mixinStandardHelpOptions = true, description = "Run one proxy until SIGTERM.")
+  static final class ServeCommand implements java.util.concurrent.Callable<Integer> {
+    @Option(names = "--config", paramLabel = "FILE", defaultValue = "${env:GW_OPERATOR_CONFIG}",
+        description = "The operator's own file (YAML); $GW_OPERATOR_CONFIG where it is not given.")
+    private Path file;
+
+    @Override
+    public Integer call() {
+      int code = Serve.run(System.getenv(), file == null || file.toString().isEmpty() ? null : file);
+      return code == 0 ? Main.GOES_ON : code;
+    }
+  }
+
+  /** {@code benchlink}. */
+  @Command(name = "benchlink", mixinStandardHelpOptions = true,
+      description = "Host the decision module on the simulator's wire, on standard input and output.")
+  static final class Benchlink implements java.util.concurrent.Callable<Integer> {
+    @Override
+    public Integer call() throws java.io.IOException {
+      return lemondeal.benchlink.Main.host();
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/cli/TokenCommand.java
@@ -0,0 +1,54 @@
+package lemondeal.cli;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Instant;
+import java.util.concurrent.Callable;
+import lemondeal.operator.KeyFile;
+import lemondeal.resume.Token;
+import lemondeal.resume.TokenCodec;
+import lemondeal.resume.TokenException;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** {@code token}: shows what a token says. It comes on standard input, since arguments are seen by all users. */
+@Command(name = "token", mixinStandardHelpOptions = true,
+    description = "Check the resume token on standard input and show what it says.")
+final class TokenCommand implements Callable<Integer> {
+  @Option(names = "--keys", required = true, paramLabel = "FILE", description = "The key file.")
+  private Path keys;
+
+  @Spec
+  private CommandSpec spec;
+
+  @Override
+  public Integer call() throws IOException {
+    BufferedReader in = new BufferedReader(new InputStreamReader(System.in, StandardCharsets.US_ASCII));
+    String line = in.readLine();
+    PrintWriter out = spec.commandLine().getOut();
+    try {
+      Token token = new TokenCodec().read(line == null ? "" : line.trim(), KeyFile.read(keys));
+      out.println("session     " + token.session());
+      out.println("epoch       " + token.epoch());
+      out.println("class       " + token.className());
+      out.println("group       " + (token.group().isEmpty() ? "none" : "digest " + token.group()));
+      out.println("to client   " + token.toClient() + " lines");
+      out.println("from client " + token.fromClient() + " lines acknowledged");
+      out.println("server      " + token.server());
+      out.println("issued      " + Instant.ofEpochMilli(token.issued()));
+      out.println("expires     " + Instant.ofEpochMilli(token.expires()));
+      return CommandLine.ExitCode.OK;
+    } catch (TokenException e) {
+      spec.commandLine().getErr().println("lemondeal: standard input: " + e.getMessage() + "; allowed: a token made with "
+          + "a key of " + keys);
+      return CommandLine.ExitCode.USAGE;
+    }
+  }
+}
--- a/proxy/src/main/java/lemondeal/codec/LineParser.java
+++ b/proxy/src/main/java/lemondeal/codec/LineParser.java
@@ -56,6 +56,11 @@
     return text;
   }
 
+  /** Bytes taken of a line that is not whole. */
+  public int pending() {
+    return length;
+  }
+
   /** Whether the bytes so far end inside a line. */
   public boolean midLine() {
     return length > 0;
--- a/proxy/src/main/java/lemondeal/codec/OpenLine.java
+++ b/proxy/src/main/java/lemondeal/codec/OpenLine.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.regex.Pattern;
 
 /** A connection's first line: {@code OPEN id key name=value,...}. The text is kept as the client sent it. */
@@ -90,6 +91,18 @@
     return millis >= 0 && millis < 1e9 ? millis : -1;
   }
 
+  /** The line with another {@code d}, without the values of these names, with more values behind them, and its end. */
+  public String with(long millis, Set<String> dropped, String more) {
+    StringBuilder line = new StringBuilder(WORD).append(id).append(' ').append(key).append(' ');
+    for (String pair : text.substring(text.lastIndexOf(' ') + 1).split(",", -1)) {
+      String name = pair.substring(0, pair.indexOf('='));
+      if (!dropped.contains(name)) {
+        line.append(name.equals("d") ? "d=" + millis : pair).append(',');
+      }
+    }
+    return line.append(more).append("\r\n").toString();
+  }
+
   /** The line with another {@code d} and nothing else changed, with its end. */
   public String withDeadline(long millis) {
     return text.substring(0, deadlineFrom) + millis + text.substring(deadlineTo) + "\r\n";
--- a/proxy/src/main/java/lemondeal/codec/ServerLine.java
+++ b/proxy/src/main/java/lemondeal/codec/ServerLine.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** A line that a server sent: its first word and what follows. */
-public record ServerLine(Kind kind, String rest) {
+public record ServerLine(Kind kind, String word, String rest) {
 
   /** The words with a meaning; anything else is {@link #OTHER}. */
   public enum Kind { UP, BYE, MOVE, ERR, BUSY, LOAD, PONG, NO, SYNTAX, OTHER }
@@ -22,7 +22,12 @@
   public static ServerLine parse(String line) {
     int space = line.indexOf(' ');
     String word = space < 0 ? line : line.substring(0, space);
-    return new ServerLine(WORDS.getOrDefault(word, Kind.OTHER), space < 0 ? "" : line.substring(space + 1));
+    return new ServerLine(WORDS.getOrDefault(word, Kind.OTHER), word, space < 0 ? "" : line.substring(space + 1));
+  }
+
+  /** Whether it is an {@code ACK}, which has a meaning on connections that can resume and none on others. */
+  public boolean isAcknowledgement() {
+    return kind == Kind.OTHER && word.equals("ACK");
   }
 
   /** The rest as one number, or NaN. */
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/log/JsonLog.java
@@ -0,0 +1,69 @@
+package lemondeal.log;
+
+import static net.logstash.logback.argument.StructuredArguments.keyValue;
+
+import ch.qos.logback.classic.Logger;
+import ch.qos.logback.classic.LoggerContext;
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.OutputStreamAppender;
+import java.io.OutputStream;
+import net.logstash.logback.encoder.LogstashEncoder;
+import net.logstash.logback.fieldnames.LogstashFieldNames;
+
+/**
+ * One JSON object a line: time, level, event, message, and the event's fields. Logback with the Logstash encoder, which
+ * puts fields beside the others; Logback's own JSON encoder keeps them in a list.
+ */
+public final class JsonLog implements EventLog {
+  private final Logger logger;
+
+  /** {@code proxy}: the proxy's name, in every line. */
+  public JsonLog(OutputStream out, String proxy) {
+    LoggerContext context = new LoggerContext();
+    LogstashEncoder encoder = new LogstashEncoder();
+    encoder.setContext(context);
+    encoder.setFieldNames(names());
+    encoder.setTimeZone("UTC");
+    // Quoted by the library that writes it: a name is the platform's, and may hold anything.
+    encoder.setCustomFields(com.fasterxml.jackson.databind.node.JsonNodeFactory.instance.objectNode()
+        .put("proxy", proxy).toString());
+    encoder.start();
+    OutputStreamAppender<ILoggingEvent> appender = new OutputStreamAppender<>();
+    appender.setContext(context);
+    appender.setEncoder(encoder);
+    appender.setOutputStream(out);
+    appender.start();
+    logger = context.getLogger("lemondeal");
+    logger.addAppender(appender);
+  }
+
+  private static LogstashFieldNames names() {
+    LogstashFieldNames names = new LogstashFieldNames();
+    names.setTimestamp("time");
+    names.setVersion("[ignore]");
+    names.setLogger("[ignore]");
+    names.setThread("[ignore]");
+    names.setLevelValue("[ignore]");
+    names.setStackTrace("stack");
+    return names;
+  }
+
+  @Override
+  public void event(Level level, String name, String line, Object... fields) {
+    Object[] all = new Object[1 + fields.length / 2];
+    all[0] = keyValue("event", name);
+    for (int i = 1; i < all.length; i++) {
+      all[i] = keyValue((String) fields[2 * i - 2], fields[2 * i - 1]);
+    }
+    switch (level) {
+      case INFO -> logger.info(line, all);
+      case WARN -> logger.warn(line, all);
+      default -> logger.error(line, all);
+    }
+  }
+
+  @Override
+  public void failure(String line, Throwable failure) {
+    logger.error(line, keyValue("event", "failed-inside"), failure);
+  }
+}
--- a/proxy/src/main/java/lemondeal/net/Faults.java
+++ b/proxy/src/main/java/lemondeal/net/Faults.java
@@ -1,15 +1,15 @@
 package lemondeal.net;
 
-import java.io.PrintStream;
+import lemondeal.log.EventLog;
 
 /**
  * Where the program's own failures go. Guards against one connection's failure reaching others: what is caught
  * here is told in the log, never swallowed, and whoever ran the task goes on.
  */
 public final class Faults {
-  private final PrintStream log;
+  private final EventLog log;
 
-  public Faults(PrintStream log) {
+  public Faults(EventLog log) {
     this.log = log;
   }
 
@@ -34,11 +34,10 @@
 
   /** Tells of a failure that is not the program's own. */
   void tell(String text) {
-    log.println("lemondeal: " + text);
+    log.warn("net", "lemondeal: " + text);
   }
 
   private void tell(RuntimeException e) {
-    tell("failed inside: " + e);
-    e.printStackTrace(log);
+    log.failure("lemondeal: failed inside: " + e, e);
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/operator/Fault.java
@@ -0,0 +1,14 @@
+package lemondeal.operator;
+
+/**
+ * One fault of a file.
+ *
+ * @param line from 1; 0 where the fault has no place in the file
+ * @param column from 1
+ */
+public record Fault(String file, int line, int column, String what) {
+  @Override
+  public String toString() {
+    return line == 0 ? file + ": " + what : file + ":" + line + ":" + column + ": " + what;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/operator/FileFaults.java
@@ -0,0 +1,24 @@
+package lemondeal.operator;
+
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** A file that can't be used: all that is wrong with it, a line each. */
+public final class FileFaults extends RuntimeException {
+  private static final long serialVersionUID = 1;
+
+  private final transient List<Fault> faults;
+
+  public FileFaults(List<Fault> faults) {
+    super(faults.stream().map(Fault::toString).collect(Collectors.joining("\n")));
+    this.faults = List.copyOf(faults);
+  }
+
+  public FileFaults(String file, String what) {
+    this(List.of(new Fault(file, 0, 0, what)));
+  }
+
+  public List<Fault> faults() {
+    return faults;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/operator/KeyFile.java
@@ -0,0 +1,98 @@
+package lemondeal.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.FileAttribute;
+import java.nio.file.attribute.PosixFilePermission;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.security.SecureRandom;
+import java.time.Instant;
+import java.time.temporal.ChronoUnit;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import lemondeal.resume.Key;
+import lemondeal.resume.KeyRing;
+
+/** Keys in a file of their own, which nobody but its owner may read. Secrets are in no message. */
+public final class KeyFile {
+  private static final Set<PosixFilePermission> OWNERS =
+      EnumSet.of(PosixFilePermission.OWNER_READ, PosixFilePermission.OWNER_WRITE);
+
+  private KeyFile() {}
+
+  /** Reads the keys; throws {@link FileFaults}, also where others can read the file. */
+  public static KeyRing read(Path file) {
+    refuseOpen(file);
+    JsonNode root;
+    try {
+      root = new SchemaCheck("keys.schema.json").read(file);
+    } catch (FileFaults e) {
+      throw new FileFaults(e.faults().stream().map(KeyFile::withoutValue).toList());
+    }
+    List<Key> keys = new ArrayList<>();
+    for (JsonNode key : root.get("keys")) {
+      keys.add(new Key(key.get("id").asText(), Instant.parse(key.get("made").asText()),
+          Base64.getDecoder().decode(key.get("secret").asText())));
+    }
+    try {
+      return new KeyRing(root.get("present").asText(), keys);
+    } catch (IllegalArgumentException e) {
+      throw new FileFaults(file.toString(), e.getMessage());
+    }
+  }
+
+  /** What was found may be a secret with one character wrong. */
+  private static Fault withoutValue(Fault fault) {
+    return new Fault(fault.file(), fault.line(), fault.column(), fault.what().replaceAll("found .*; allowed", "allowed"));
+  }
+
+  private static void refuseOpen(Path file) {
+    try {
+      Set<PosixFilePermission> permissions = Files.getPosixFilePermissions(file);
+      if (!OWNERS.containsAll(permissions)) {
+        throw new FileFaults(file.toString(), "others than its owner may use it (" + PosixFilePermissions.toString(permissions)
+            + "); allowed: rw-------, or less");
+      }
+    } catch (IOException | UnsupportedOperationException e) {
+      throw new FileFaults(file.toString(), "cannot be read: " + e);
+    }
+  }
+
+  /** A new secret under a new id, made now. */
+  public static Key newKey(String id) {
+    byte[] secret = new byte[Key.BYTES];
+    new SecureRandom().nextBytes(secret);
+    return new Key(id, Instant.now().truncatedTo(ChronoUnit.SECONDS), secret);
+  }
+
+  /** Replaces the file in one step, so that a proxy that reads it meanwhile sees the one or the other. */
+  public static void write(Path file, KeyRing ring) throws IOException {
+    StringBuilder text = new StringBuilder("# Written by 'lemondeal keys'. Secrets: nobody but the proxies may read this.\n");
+    text.append("present: ").append(quoted(ring.present())).append("\nkeys:\n");
+    for (Key key : ring.keys()) {
+      text.append("  - id: ").append(quoted(key.id()))
+          .append("\n    made: ").append(quoted(key.made().toString()))
+          .append("\n    secret: ").append(quoted(Base64.getEncoder().encodeToString(key.secret()))).append('\n');
+    }
+    FileAttribute<Set<PosixFilePermission>> mine = PosixFilePermissions.asFileAttribute(OWNERS);
+    Path folder = file.toAbsolutePath().getParent();
+    Path fresh = Files.createTempFile(folder, ".keys", ".new", mine);
+    try {
+      Files.write(fresh, text.toString().getBytes(StandardCharsets.US_ASCII));
+      Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    } finally {
+      Files.deleteIfExists(fresh);
+    }
+  }
+
+  private static String quoted(String text) {
+    return '"' + text + '"';
+  }
+}
--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -15,14 +15,14 @@
 import lemondeal.codec.ServerLine;
 import lemondeal.net.Link;
 import lemondeal.net.Timers;
+import lemondeal.resume.Continuity;
 
 /**
  * A client's side of a connection behind its first line: its one final answer and, once its server says UP, what
  * passes between the two. Owns the executions of its request, one at a time.
  */
-final class ClientLink implements Link.Owner {
+final class ClientLink implements Link.Owner, Continuity.Side {
   private static final long MILLI = 1000;
-  private static final String MOVE = "MOVE\r\n";
 
   private enum State { WAITING, UP, OVER }
 
@@ -31,6 +31,7 @@
   private final Link link;
   private final LineParser lines;
   private final OpenLine open;
+  private final Continuity continuity;
   private final int requestClass;
   private State state = State.WAITING;
   private String id;
@@ -41,7 +42,10 @@
   /** From UP on. */
   private ServerNotes notes;
   private Timers.Timer timer;
+  /** Whether the module knows of it. */
+  private boolean admitted;
   private boolean moving;
+  private boolean told;
   private boolean clientEnded;
   private boolean serverEnded;
 
@@ -51,6 +55,7 @@
     this.link = link;
     this.open = open;
     this.requestClass = requestClass;
+    continuity = context.continuity(open);
     lines = new LineParser(context.limits().lineBytes());
   }
 
@@ -68,10 +73,16 @@
       adopt();
     } else {
       timer = link.after(due - now, this::overdue);
-      context.decisions().tell(new Arrived(request));
+      continuity.begin(this);
     }
   }
 
+  @Override
+  public void admit() {
+    admitted = true;
+    context.decisions().tell(new Arrived(request));
+  }
+
   /** The id that the client gave its request; the module knows the request by another. */
   String givenId() {
     return open.id();
@@ -113,8 +124,13 @@
   // ---- Executions ----------------------------------------------------------------------------
 
   /** The first line as the server should see it. */
-  String firstLine(long microsLeft) {
-    return open.withDeadline(microsLeft / MILLI);
+  String firstLine(long microsLeft, int attempt) {
+    return continuity.firstLine(microsLeft / MILLI, attempt);
+  }
+
+  /** Whether the server's UP can be passed on; if not, its attempt has failed. */
+  boolean takes(String upLine) {
+    return continuity.takes(upLine);
   }
 
   void execute(String server, long patience) {
@@ -151,6 +167,7 @@
 
   void executionEnded(Execution ended, Outcome outcome, LoadReport report) {
     execution = null;
+    overForContinuity();
     if (isAdoption() && !ended.isUp()) {
       if (state == State.WAITING) {
         timer = link.after(context.limits().adoptPause(), this::adopt);
@@ -165,7 +182,7 @@
     state = State.UP;
     Timers.cancel(timer);
     notes = new ServerNotes(context, link, id, from, () -> moveNow(Outcome.RESET));
-    link.send(line + "\r\n");
+    link.send(line + "\r\n" + continuity.up(from.number(), from.server(), line));
     context.figures().served(requestClass);
     if (isAdoption()) {
       context.decisions().tell(new Adopted(request, from.server()));
@@ -186,7 +203,8 @@
 
   // ---- Final answers -------------------------------------------------------------------------
 
-  void throttle(long retryAfter) {
+  @Override
+  public void throttle(long retryAfter) {
     if (state == State.WAITING) {
       leave();
       context.answers().busy(link, requestClass, retryAfter);
@@ -200,6 +218,14 @@
     }
   }
 
+  @Override
+  public void fail(String line) {
+    if (state == State.WAITING) {
+      leave();
+      context.answers().failed(link, requestClass, line + "\r\n");
+    }
+  }
+
   /** Guards the promise of an answer in time, should the module let a request lie. */
   private void overdue() {
     if (state == State.WAITING) {
@@ -221,7 +247,7 @@
 
   /** Tells the module that no answer is owed any more; an execution that it leaves out is ended all the same. */
   private void gone() {
-    if (!isAdoption()) {
+    if (admitted) {
       context.decisions().tell(new ClientGone(id));
     }
     if (execution != null) {
@@ -236,6 +262,15 @@
       notes.stop();
     }
     gate.leave(id);
+    overForContinuity();
+  }
+
+  /** Nothing goes on from here once the connection is over and no attempt of it can come up any more. */
+  private void overForContinuity() {
+    if (state == State.OVER && execution == null && !told) {
+      told = true;
+      continuity.over();
+    }
   }
 
   // ---- Passing on ----------------------------------------------------------------------------
@@ -245,13 +280,16 @@
     while (looked.hasRemaining()) {
       if (lines.next(looked) != null) {
         notes.clientLine();
+        continuity.fromClient();
       }
     }
     execution.link().send(bytes);
   }
 
   void lineFromServer(ServerLine line) {
-    notes.serverLine(line);
+    if (continuity.answers(line)) {
+      notes.serverLine(line);
+    }
     if (moving) {
       moveNow(Outcome.CANCELLED);
     }
@@ -262,7 +300,7 @@
    * slowly: what the server's side has room for says nothing of the client's.
    */
   int roomTowardsClient() {
-    return Math.max(0, link.free() - MOVE.length());
+    return Math.max(0, link.free() - continuity.moveBytes());
   }
 
   /** Passes bytes of the server on to the client, for which there was room. */
@@ -270,6 +308,37 @@
     link.send(bytes);
   }
 
+  /** Whether what the server sends is passed on line by line. */
+  boolean passesWholeLines() {
+    return continuity.passesWholeLines();
+  }
+
+  /** Passes a whole line of the server on, for which there was room. */
+  void passLine(String line) {
+    link.send(continuity.fromServer(line));
+  }
+
+  /** A line of the proxy's own between two others: those of a client that can resume are passed on whole. */
+  @Override
+  public boolean say(String line) {
+    int bytes = line.length() + 2;
+    if (state != State.UP || link.free() < bytes + continuity.moveBytes()) {
+      return false;
+    }
+    link.send(line + "\r\n");
+    return true;
+  }
+
+  @Override
+  public void after(long micros, Runnable task) {
+    link.after(micros, task);
+  }
+
+  @Override
+  public void later(Runnable task) {
+    context.net().later(() -> link.guarded(task));
+  }
+
   void resume() {
     link.resume();
   }
@@ -302,8 +371,8 @@
       return;
     }
     leave();
-    if (execution.betweenLines() && link.free() >= MOVE.length()) {
-      link.send(MOVE);
+    if (execution.betweenLines() && link.free() >= continuity.moveBytes()) {
+      link.send(continuity.move());
     }
     link.finish();
     execution.end(outcome, null);
--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -26,7 +26,7 @@
   private boolean written;
   private boolean up;
   private boolean over;
-  private ServerLine last = new ServerLine(ServerLine.Kind.OTHER, "");
+  private ServerLine last = ServerLine.parse("");
 
   Execution(Context context, ClientLink client, String server, int number) {
     this.context = context;
@@ -51,7 +51,7 @@
 
   /** Whether the bytes passed to the client end with a whole line. */
   boolean betweenLines() {
-    return !lines.midLine();
+    return client.passesWholeLines() || !lines.midLine();
   }
 
   /** Dials, and waits for {@code UP} until the time is up. */
@@ -72,7 +72,7 @@
     link = opened;
     link.start(this);
     long left = Math.max(0, deadline - context.now());
-    link.send(client.firstLine(left));
+    link.send(client.firstLine(left, number));
     attempted();
   }
 
@@ -126,7 +126,8 @@
 
   @Override
   public int room() {
-    return up ? client.roomTowardsClient() : context.limits().lineBytes();
+    int kept = client.passesWholeLines() ? lines.pending() : 0;
+    return up ? Math.max(0, client.roomTowardsClient() - kept) : context.limits().lineBytes();
   }
 
   @Override
@@ -151,11 +152,7 @@
     }
     ServerLine answer = ServerLine.parse(line);
     switch (answer.kind()) {
-      case UP -> {
-        up = true;
-        Timers.cancel(timeout);
-        client.up(this, line);
-      }
+      case UP -> cameUp(line);
       case BUSY -> end(Outcome.REFUSED, Reports.read(answer));
       case MOVE -> end(Outcome.CANCELLED, null);
       case BYE -> client.servedAtOnce(this, line, Reports.read(answer));
@@ -163,6 +160,16 @@
     }
   }
 
+  private void cameUp(String line) {
+    if (!client.takes(line)) {
+      end(Outcome.ERROR, null);
+      return;
+    }
+    up = true;
+    Timers.cancel(timeout);
+    client.up(this, line);
+  }
+
   /**
    * Passes the bytes on unchanged and tells of their lines. A line goes out before it is told: what the
    * module decides on it may be a move, which must not overtake or swallow the line.
@@ -171,7 +178,11 @@
     while (bytes.hasRemaining() && !over) {
       int start = bytes.position();
       String line = lines.next(bytes);
-      client.pass(bytes.duplicate().limit(bytes.position()).position(start));
+      if (!client.passesWholeLines()) {
+        client.pass(bytes.duplicate().limit(bytes.position()).position(start));
+      } else if (line != null) {
+        client.passLine(line);
+      }
       if (line != null) {
         last = ServerLine.parse(line);
         client.lineFromServer(last);
--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -32,11 +32,15 @@
 import lemondeal.discovery.Discovery;
 import lemondeal.discovery.HostGroup;
 import lemondeal.figures.Figures;
+import lemondeal.log.EventLog;
+import lemondeal.log.PlainLog;
 import lemondeal.net.Crowd;
 import lemondeal.net.Faults;
 import lemondeal.net.Link;
 import lemondeal.net.Listener;
 import lemondeal.net.Net;
+import lemondeal.resume.Continuity;
+import lemondeal.resume.Resumption;
 import org.xnio.XnioIoThread;
 
 /** One real proxy: puts the parts together and carries out what the module decides. */
@@ -53,17 +57,25 @@
   private final Requests requests;
   private final Gate gate;
   private final Crowd<Newcomer> newcomers;
-  private final PrintStream log;
+  private final EventLog log;
   private final Map<String, Prober> probers = new HashMap<>();
   private final Figures figures;
   private final Stop stop;
+  private final Resumption resumption;
   private Listener clients;
   private Listener secondAddress;
   private boolean accepting;
   private boolean stopping;
   private XnioIoThread.Key nextAdvance;
 
+  /** A proxy without anything of an operator's own. */
   public Proxy(Config config, Balancer module, PrintStream log) throws IOException {
+    this(config, module, new PlainLog(log), null);
+  }
+
+  /** {@code resumption} is null where no client can resume. */
+  public Proxy(Config config, Balancer module, EventLog log, Resumption resumption) throws IOException {
+    this.resumption = resumption;
     this.config = config;
     this.module = module;
     this.log = log;
@@ -78,7 +90,8 @@
     discovery = new Discovery(net, wheel, limits, config.discovery(), group, this::listed);
     DelayMeter delays = new DelayMeter(config.settings(), limits, decisions::tell);
     figures = new Figures(config.names().classes());
-    context = new Context(config, net, wheel, group, decisions, delays, figures, new FinalAnswer(figures));
+    context = new Context(config, net, wheel, group, decisions, delays, figures, new FinalAnswer(figures),
+        resumption == null ? Continuity.Plain::new : resumption::of);
     requests = new Requests(limits.clients());
     gate = new Gate(requests);
     newcomers = new Crowd<>(() -> limits.newcomers(requests.left()), Newcomer::makeRoom);
@@ -134,7 +147,7 @@
     if (!accepting && !stopping && module.standing(wheel.now()).known() > 0) {
       accepting = true;
       clients.resume();
-      log.println("lemondeal: ready");
+      log.info("ready", "lemondeal: ready");
     }
   }
 
@@ -181,6 +194,9 @@
     all.put("in_flight", (long) requests.size());
     all.put("servers_known", (long) standing.known());
     all.put("servers_excluded", (long) standing.avoided());
+    if (resumption != null) {
+      resumption.addTo(all);
+    }
     return all;
   }
 
@@ -225,7 +241,7 @@
     } else if (action instanceof FetchList) {
       discovery.fetch();
     } else if (action instanceof Log a) {
-      log.println(config.name() + " " + a.text());
+      log.info("module", config.name() + " " + a.text());
     }
   }
 
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/resume/TokenException.java
@@ -0,0 +1,17 @@
+package lemondeal.resume;
+
+/** A text that is no token to be taken. The message never holds any of it. */
+public final class TokenException extends Exception {
+  private static final long serialVersionUID = 1;
+
+  private final TokenFault fault;
+
+  TokenException(TokenFault fault) {
+    super("token: " + fault.name().toLowerCase(java.util.Locale.ROOT), null, false, false);
+    this.fault = fault;
+  }
+
+  public TokenFault fault() {
+    return fault;
+  }
+}
--- a/proxy/src/test/java/lemondeal/ReloadTest.java
+++ b/proxy/src/test/java/lemondeal/ReloadTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lemondeal.config.Config;
+import lemondeal.log.PlainLog;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -43,7 +44,7 @@
   }
 
   private Reload reload(Map<String, String> environment) {
-    return new Reload(Config.read(environment), environment, taken::add, log);
+    return new Reload(Config.read(environment), environment, taken::add, new PlainLog(log), () -> { });
   }
 
   private int nextPort() throws InterruptedException {
--- a/proxy/src/test/java/lemondeal/net/LinkTest.java
+++ b/proxy/src/test/java/lemondeal/net/LinkTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lemondeal.config.Limits;
+import lemondeal.log.PlainLog;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -71,7 +72,7 @@
 
   @BeforeEach
   void listen() throws Exception {
-    net = new Net(limits, new Faults(System.err));
+    net = new Net(limits, new Faults(new PlainLog(System.err)));
     net.run(() -> {
       listener = net.listen(Listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)),
           limits.accepted(), link -> {
