Test tokens, claims, the claims' log and the wire of resumable connections

Change: those tests, the operator's example file, and the JSON log's missing MDC adapter (it wrote nothing; LogTest found it).

--- a/proxy/src/main/java/lemondeal/log/JsonLog.java
+++ b/proxy/src/main/java/lemondeal/log/JsonLog.java
@@ -5,6 +5,7 @@
 import ch.qos.logback.classic.Logger;
 import ch.qos.logback.classic.LoggerContext;
 import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.classic.util.LogbackMDCAdapter;
 import ch.qos.logback.core.OutputStreamAppender;
 import java.io.OutputStream;
 import net.logstash.logback.encoder.LogstashEncoder;
@@ -20,6 +21,7 @@
   /** {@code proxy}: the proxy's name, in every line. */
   public JsonLog(OutputStream out, String proxy) {
     LoggerContext context = new LoggerContext();
+    context.setMDCAdapter(new LogbackMDCAdapter());
     LogstashEncoder encoder = new LogstashEncoder();
     encoder.setContext(context);
     encoder.setFieldNames(names());
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/claims/DiskStoreTest.java
@@ -0,0 +1,191 @@
+package lemondeal.claims;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import lemondeal.log.PlainLog;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Claims on disk, cut off anywhere. */
+@Timeout(60)
+class DiskStoreTest {
+  private static final long NOW = 1_000_000;
+
+  @TempDir
+  Path folder;
+
+  private final ByteArrayOutputStream told = new ByteArrayOutputStream();
+
+  private DiskStore open(Path at) throws IOException {
+    return DiskStore.open(at, 100_000, () -> NOW, new PlainLog(new PrintStream(told, true)));
+  }
+
+  private static ClaimAnswer claim(DiskStore store, int session, long epoch) throws InterruptedException {
+    BlockingQueue<ClaimAnswer> answers = new LinkedBlockingQueue<>();
+    new CasClaims(store, () -> NOW).claim(
+        new Claim(String.format("%032x", session), epoch, "h", 1000, NOW + 50_000), answers::add);
+    ClaimAnswer answer = answers.poll(20, TimeUnit.SECONDS);
+    assertNotNull(answer);
+    return answer;
+  }
+
+  private static void use(DiskStore store, int session) throws InterruptedException {
+    ClaimAnswer.Granted granted = assertInstanceOf(ClaimAnswer.Granted.class, claim(store, session, 16));
+    BlockingQueue<Boolean> settled = new LinkedBlockingQueue<>();
+    new CasClaims(store, () -> NOW).settle(new Claim(String.format("%032x", session), 16, "h", 1000, NOW + 50_000),
+        granted.fence());
+    // Jobs are done in their order: once this is answered, so is the one before.
+    store.read("00", answer -> settled.add(true));
+    assertNotNull(settled.poll(20, TimeUnit.SECONDS));
+    assertEquals(new ClaimAnswer.Used(), claim(store, session, 16));
+  }
+
+  private Path copy(Path from, String name) throws IOException {
+    Path to = folder.resolve(name);
+    Files.createDirectories(to);
+    try (Stream<Path> files = Files.list(from)) {
+      for (Path file : files.toList()) {
+        Files.copy(file, to.resolve(file.getFileName()));
+      }
+    }
+    return to;
+  }
+
+  @Test
+  void aRestartRemembersWhatIsUsed() throws Exception {
+    Path at = folder.resolve("a");
+    try (DiskStore store = open(at)) {
+      use(store, 1);
+    }
+    try (DiskStore store = open(at)) {
+      assertEquals(new ClaimAnswer.Used(), claim(store, 1, 16));
+    }
+  }
+
+  /** A crash at any byte of the last write: what was answered before it is there, and the torn rest is no obstacle. */
+  @Test
+  void aTornTailIsCutOffWhereverItWasTorn() throws Exception {
+    Path whole = folder.resolve("whole");
+    try (DiskStore store = open(whole)) {
+      use(store, 1);
+    }
+    int before = (int) Files.size(whole.resolve("log-0"));
+    try (DiskStore store = open(whole)) {
+      use(store, 2);
+    }
+    byte[] bytes = Files.readAllBytes(whole.resolve("log-0"));
+    assertTrue(bytes.length > before);
+    for (int cut = before; cut < bytes.length; cut++) {
+      Path torn = copy(whole, "torn-" + cut);
+      byte[] left = java.util.Arrays.copyOf(bytes, cut);
+      Files.write(torn.resolve("log-0"), left);
+      try (DiskStore store = open(torn)) {
+        assertEquals(new ClaimAnswer.Used(), claim(store, 1, 16), "cut at " + cut);
+        assertInstanceOf(ClaimAnswer.Granted.class, claim(store, 3, 16), "goes on behind the cut");
+      }
+      try (DiskStore store = open(torn)) {
+        assertInstanceOf(ClaimAnswer.Held.class, new CasHeld(store).claim(3), "what was answered behind the cut stays");
+      }
+    }
+    assertTrue(told.toString().contains("were torn and are cut off"), told.toString());
+  }
+
+  /** Another holder's claim on a session. */
+  private record CasHeld(DiskStore store) {
+    ClaimAnswer claim(int session) throws InterruptedException {
+      BlockingQueue<ClaimAnswer> answers = new LinkedBlockingQueue<>();
+      new CasClaims(store, () -> NOW).claim(
+          new Claim(String.format("%032x", session), 16, "another", 1000, NOW + 50_000), answers::add);
+      return answers.poll(20, TimeUnit.SECONDS);
+    }
+  }
+
+  /** A byte changed in the middle is no tail: what follows it can't be trusted, and neither can a snapshot like that. */
+  @Test
+  void aDamagedSnapshotIsToldAndNotPassedOver() throws Exception {
+    Path at = folder.resolve("b");
+    try (LogFolder files = LogFolder.open(at, record -> { })) {
+      files.begin(List.of(new byte[] {1, 2, 3}));
+    }
+    byte[] bytes = Files.readAllBytes(at.resolve("snapshot-1"));
+    bytes[9] ^= 1;
+    Files.write(at.resolve("snapshot-1"), bytes);
+    IOException fault = assertThrows(IOException.class, () -> open(at));
+    assertTrue(fault.getMessage().contains("damaged"), fault.getMessage());
+  }
+
+  /** A snapshot is whole before the log behind it begins; a crash in between leaves the old pair, or the new one. */
+  @Test
+  void aSnapshotTakesTheLogsPlace() throws Exception {
+    Path at = folder.resolve("c");
+    List<String> read = new ArrayList<>();
+    try (LogFolder files = LogFolder.open(at, record -> { })) {
+      files.append(List.of(new byte[] {1}, new byte[] {2}));
+      files.begin(List.of(new byte[] {2}));
+      files.append(List.of(new byte[] {3}));
+      assertEquals(1, files.records());
+    }
+    Files.write(at.resolve("snapshot.new"), new byte[] {9, 9});
+    try (LogFolder files = LogFolder.open(at, record -> read.add(Integer.toString(record[0])))) {
+      assertEquals(List.of("2", "3"), read);
+      assertEquals(0, files.tornBytes());
+    }
+  }
+
+  @Test
+  void manyWritesAreCompacted() throws Exception {
+    Path at = folder.resolve("d");
+    try (DiskStore store = open(at)) {
+      BlockingQueue<Boolean> done = new LinkedBlockingQueue<>();
+      int rounds = 6000;
+      write(store, "ab", 0, rounds, done);
+      assertNotNull(done.poll(50, TimeUnit.SECONDS));
+    }
+    try (Stream<Path> files = Files.list(at)) {
+      assertTrue(files.anyMatch(file -> file.getFileName().toString().startsWith("snapshot-")));
+    }
+    try (DiskStore store = open(at)) {
+      BlockingQueue<CasStore.Written> read = new LinkedBlockingQueue<>();
+      store.read("ab", read::add);
+      assertEquals(6000, read.poll(20, TimeUnit.SECONDS).now().version());
+    }
+  }
+
+  private static void write(DiskStore store, String session, long version, int left, BlockingQueue<Boolean> done) {
+    if (left == 0) {
+      done.add(true);
+      return;
+    }
+    store.compareAndSet(session, version, new ClaimState(version, version, "", 0, NOW + 50_000),
+        written -> write(store, session, version + 1, left - 1, done));
+  }
+
+  /** During an upgrade two processes would write one log. */
+  @Test
+  void aSecondOneIsToldThatTheFolderIsHeld() throws Exception {
+    Path at = folder.resolve("e");
+    DiskStore first = open(at);
+    try (DiskStore second = open(at)) {
+      use(first, 1);
+      assertEquals(new ClaimAnswer.Unknown("another process holds the claims"), claim(second, 1, 16));
+      first.close();
+      assertEquals(new ClaimAnswer.Used(), claim(second, 1, 16), "it takes over what the first one wrote");
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/operator/OperatorTest.java
@@ -0,0 +1,153 @@
+package lemondeal.operator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.PosixFilePermissions;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import lemondeal.resume.KeyRing;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The operator's own file and the key file: what is taken, and what is said of what is not. */
+class OperatorTest {
+  @TempDir
+  Path folder;
+
+  private Path file(String text) throws IOException {
+    return Files.writeString(folder.resolve("operator.yaml"), text);
+  }
+
+  private List<String> faults(String text) throws IOException {
+    Path file = file(text);
+    return assertThrows(FileFaults.class, () -> Operator.read(file)).faults().stream()
+        .map(fault -> fault.line() + ":" + fault.column() + " " + fault.what()).toList();
+  }
+
+  @Test
+  void theExampleCanBeUsedAndItsCommentsTellTheDefaults() throws IOException {
+    Path example = Path.of("../deploy/operator.example.yaml");
+    Operator operator = Operator.read(example);
+    assertTrue(operator.jsonLog());
+    Operator bare = Operator.read(file("version: 1\nresume: {classes: [order-sync], keys: keys.yaml}\n"));
+    assertEquals(bare.resume().settings(), operator.resume().settings(), "the example shows what holds without it");
+    assertEquals(Operator.ClaimsIn.MEMORY, bare.resume().claims());
+    assertEquals(folder.resolve("keys.yaml"), bare.resume().keys());
+    assertFalse(bare.jsonLog());
+  }
+
+  @Test
+  void timesAndCountsAreRead() throws IOException {
+    Operator operator = Operator.read(file("""
+        version: 1
+        resume:
+          classes: [a, b]
+          keys: /k
+          life: 2m
+          skew: 250ms
+          checkpoint: 1s
+          window: 9
+          claims: {in: disk, folder: claims}
+        """));
+    assertEquals(Set.of("a", "b"), operator.resume().settings().classes());
+    assertEquals(120_000, operator.resume().settings().life());
+    assertEquals(250, operator.resume().settings().skew());
+    assertEquals(9, operator.resume().settings().window());
+    assertEquals(folder.resolve("claims"), operator.resume().folder());
+  }
+
+  @Test
+  void allFaultsAreToldAtOnceEachWithItsPlace() throws IOException {
+    assertEquals(List.of(
+        "1:10 version: found 2; allowed: the whole number 1",
+        "2:1 the file: unknown key 'logg'; allowed: log, resume, version",
+        "4:3 resume: the key 'keys' is missing; allowed: the path of a key file",
+        "4:12 resume.classes: found []; allowed: a list of at least one class, each named once",
+        "5:9 resume.life: found \"5 seconds\"; allowed: a time such as 250ms, 30s or 5m, 1ms to 24h",
+        "7:9 resume.claims.in: found \"tape\"; allowed: memory, disk or fleet"),
+        faults("version: 2\nlogg: 3\nresume:\n  classes: []\n  life: 5 seconds\n  claims:\n    in: tape\n"));
+  }
+
+  @Test
+  void whatASchemaCannotSayIsCheckedToo() throws IOException {
+    String start = "version: 1\nresume:\n  classes: [a]\n  keys: k\n";
+    assertEquals(List.of("0:0 resume.claims.folder: is missing with in: disk"), faults(start + "  claims: {in: disk}\n"));
+    assertEquals(List.of("0:0 resume.claims.store: has no meaning with in: memory"),
+        faults(start + "  claims: {in: memory, store: '1.2.3.4:5'}\n"));
+    assertEquals(List.of("0:0 resume.checkpoint: found 60000 ms; allowed: less than resume.life, 60000 ms"),
+        faults(start + "  checkpoint: 60s\n"));
+    assertTrue(faults(start + "  claims: {in: fleet, store: here}\n").get(0).contains("no numeric address:port"));
+    assertEquals(List.of("0:0 resume.life: found 99h; allowed: 1ms to 24h"), faults(start + "  life: 99h\n"));
+  }
+
+  @Test
+  void whatIsNoYamlIsAFaultOfItsPlace() throws IOException {
+    assertEquals(List.of("2:1 the key 'version' stands here twice"), faults("version: 1\nversion: 1\n"));
+    assertTrue(faults("version: [1\nlog: {").get(0).startsWith("2:"), "place of the mistake");
+    assertTrue(faults("").get(0).contains("found null"));
+    StringBuilder bomb = new StringBuilder("a0: &a0 [x, x, x, x, x, x, x, x, x, x]\n");
+    for (int i = 1; i < 5; i++) {
+      bomb.append("a%d: &a%d [%s*a%d]\n".formatted(i, i, ("*a" + (i - 1) + ", ").repeat(9), i - 1));
+    }
+    assertTrue(faults(bomb.toString()).get(0).contains("more than 20000 values"));
+  }
+
+  /** Whatever stands in the file: faults or a configuration, and never anything else. */
+  @Test
+  void garbageIsFaults() throws IOException {
+    Random random = new Random(41);
+    String good = "version: 1\nresume:\n  classes: [a]\n  keys: k\n  life: 20s\n  claims: {in: memory}\n";
+    for (int round = 0; round < 400; round++) {
+      StringBuilder text = new StringBuilder(good);
+      for (int i = random.nextInt(4); i >= 0; i--) {
+        text.setCharAt(random.nextInt(text.length()), "{}[]:,&*!|>'\"%@`#- \n\tab1".charAt(random.nextInt(24)));
+      }
+      Path file = file(text.toString());
+      try {
+        Operator.read(file);
+      } catch (FileFaults e) {
+        assertFalse(e.faults().isEmpty());
+      }
+    }
+  }
+
+  @Test
+  void keysAreWrittenForTheirOwnerAlone() throws IOException {
+    Path file = folder.resolve("keys.yaml");
+    KeyRing ring = new KeyRing("a-1", List.of(KeyFile.newKey("a-1"), KeyFile.newKey("b_2")));
+    KeyFile.write(file, ring);
+    assertEquals("rw-------", PosixFilePermissions.toString(Files.getPosixFilePermissions(file)));
+    KeyRing read = KeyFile.read(file);
+    assertEquals("a-1", read.present());
+    for (int i = 0; i < 2; i++) {
+      assertTrue(java.util.Arrays.equals(ring.keys().get(i).secret(), read.keys().get(i).secret()));
+      assertEquals(ring.keys().get(i).made(), read.keys().get(i).made());
+    }
+    KeyFile.write(file, ring.using("b_2"));
+    assertEquals("b_2", KeyFile.read(file).present(), "replaced as a whole");
+    for (String open : List.of("rw-r-----", "rw----r--", "rwx------")) {
+      Files.setPosixFilePermissions(file, PosixFilePermissions.fromString(open));
+      assertTrue(assertThrows(FileFaults.class, () -> KeyFile.read(file)).getMessage().contains(open));
+    }
+  }
+
+  /** A secret with one wrong character is nearly one. */
+  @Test
+  void faultsOfAKeyFileShowNothingOfIt() throws IOException {
+    Path file = folder.resolve("keys.yaml");
+    KeyFile.write(file, new KeyRing("a", List.of(KeyFile.newKey("a"))));
+    String text = Files.readString(file);
+    String secret = text.replaceAll("(?s).*secret: \"(.{40}).*", "$1");
+    Files.writeString(file, text.replace(secret, secret + "?"));
+    String message = assertThrows(FileFaults.class, () -> KeyFile.read(file)).getMessage();
+    assertFalse(message.contains(secret.substring(0, 8)), message);
+    assertTrue(message.contains("6:13: keys[0].secret: allowed: 44 characters"), message);
+  }
+}
--- a/proxy/src/test/java/lemondeal/proxy/Site.java
+++ b/proxy/src/test/java/lemondeal/proxy/Site.java
@@ -26,7 +26,9 @@
 import lemondeal.Scripted;
 import lemondeal.config.Config;
 import lemondeal.config.Limits;
+import lemondeal.log.PlainLog;
 import lemondeal.net.Listener;
+import lemondeal.resume.Resumption;
 
 /** A proxy on loopback with one server, a discovery and a module that does as the test says. */
 final class Site implements AutoCloseable {
@@ -112,8 +114,18 @@
     this(script, "", 1024, System.err, shared);
   }
 
+  /** A proxy whose clients of class chat can resume. */
+  Site(Function<Event, List<Action>> script, Resumption resumption) throws IOException {
+    this(script, "", 1024, System.err, null, resumption);
+  }
+
   private Site(Function<Event, List<Action>> script, String family, int sockets, PrintStream log,
       ServerSocketChannel shared) throws IOException {
+    this(script, family, sockets, log, shared, null);
+  }
+
+  private Site(Function<Event, List<Action>> script, String family, int sockets, PrintStream log,
+      ServerSocketChannel shared, Resumption resumption) throws IOException {
     file = Files.createTempFile("lemondeal", ".json");
     Files.writeString(file, config(family, sockets));
     module = new Scripted(event -> {
@@ -125,7 +137,7 @@
       environment.put("GW_ACCEPT_FD", "0");
     }
     config = Config.read(environment);
-    proxy = new Proxy(config, module, log);
+    proxy = new Proxy(config, module, new PlainLog(log), resumption);
     proxy.start(shared == null ? Listener.bind(config.listen()) : shared);
   }
 
