--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 JAVA := java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms16m -Xmx32m -XX:MaxMetaspaceSize=24m \
 	-XX:ReservedCodeCacheSize=12m -XX:MaxDirectMemorySize=16m -Xss512k -XX:-UsePerfData
 
-.PHONY: build jar archive test lint run clean
+.PHONY: build jar archive test lint measure-resume run clean
 
 build: jar archive
 
@@ -28,6 +28,12 @@
 lint:
 	$(MAVEN) -q clean test-compile -Dmaven.compiler.failOnWarning=true
 
+# Resumable moves beside plain ones, on real proxies: about two minutes. The tables are left in lab/target/resume.md.
+measure-resume:
+	$(MAVEN) -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/classpath.txt
+	java -cp lab/target/classes:$$(cat lab/target/classpath.txt) lemondeal.lab.Lab measure-resume \
+		--out lab/target/resume.md
+
 run:
 	GW_CONFIG=example/config.json exec $(JAVA) -XX:SharedArchiveFile=$(ARCHIVE) -jar $(JAR) serve
 
--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/measure/Reports.java
@@ -0,0 +1,16 @@
+package lemondeal.lab.measure;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import org.openjdk.jmh.runner.RunnerException;
+
+/** The measurements that the lab can make. */
+public final class Reports {
+  private Reports() {}
+
+  /** Resumable moves beside plain ones: tables in Markdown. Tells how far it is on {@code progress}. */
+  public static String resume(int clients, PrintStream progress)
+      throws IOException, InterruptedException, RunnerException {
+    return new ResumeReport(clients, progress).run();
+  }
+}
--- a/lab/src/main/java/lemondeal/lab/stream/ResumingClient.java
+++ b/lab/src/main/java/lemondeal/lab/stream/ResumingClient.java
@@ -173,6 +173,10 @@
   private void pass(Lines lines) throws IOException {
     lines.patience(plan.paceMillis());
     boolean first = true;
+    if (connections > 1) {
+      // A user's next line does not wait: what is measured is the gap, not the pace.
+      sendNext(lines);
+    }
     while (!isDone() && System.nanoTime() < plan.until()) {
       try {
         String line = lines.read();
@@ -181,15 +185,19 @@
         }
         first = heard(line, first);
       } catch (SocketTimeoutException e) {
-        if (sent < plan.lines()) {
-          sent++;
-          kept.add(line(sent));
-          lines.write(line(sent));
-        }
+        sendNext(lines);
       }
     }
   }
 
+  private void sendNext(Lines lines) throws IOException {
+    if (sent < plan.lines()) {
+      sent++;
+      kept.add(line(sent));
+      lines.write(line(sent));
+    }
+  }
+
   /** Whether the first line of the connection is still to come. */
   private boolean heard(String line, boolean first) {
     String[] words = line.split(" ");
--- a/lab/src/main/java/lemondeal/lab/stream/SessionStore.java
+++ b/lab/src/main/java/lemondeal/lab/stream/SessionStore.java
@@ -105,8 +105,18 @@
     return sessions.values().stream().mapToInt(session -> session.mostAttempts).max().orElse(0);
   }
 
-  public synchronized int size() {
-    return sessions.size();
+  /** Waits until so many lines of clients have been kept. */
+  public synchronized void awaitApplied(int count) throws InterruptedException {
+    while (sessions.values().stream().mapToInt(session -> session.fromClient.size()).sum() < count) {
+      wait();
+    }
+  }
+
+  /** Waits until so many sessions have been taken. */
+  public synchronized void awaitTaken(int count) throws InterruptedException {
+    while (sessions.values().stream().filter(session -> session.epoch > 0).count() < count) {
+      wait();
+    }
   }
 
   /** Takes and lines that the fence kept out. */
--- a/lab/src/main/java/lemondeal/lab/stream/StreamServer.java
+++ b/lab/src/main/java/lemondeal/lab/stream/StreamServer.java
@@ -57,7 +57,7 @@
     acknowledges = false;
   }
 
-  /** Goes on from the newest line whatever its client has: for showing that the checker finds out. */
+  /** Begins with its first line whatever its client has: for showing that the checker finds out. */
   public void withoutReplay() {
     replays = false;
   }
@@ -67,6 +67,18 @@
     return (int) connections.stream().filter(c -> c.up).count();
   }
 
+  /** Waits until no connection stands any more. */
+  public synchronized void awaitEmpty() throws InterruptedException {
+    while (standing() > 0) {
+      wait();
+    }
+  }
+
+  private synchronized void left(Connection connection) {
+    connections.remove(connection);
+    notifyAll();
+  }
+
   /** First lines that came. */
   public int opened() {
     return opened.get();
@@ -132,7 +144,7 @@
       } catch (IOException e) {
         // Its end is noted below, as any other.
       } finally {
-        connections.remove(this);
+        left(this);
         lines.close();
       }
     }
@@ -216,7 +228,7 @@
     private void push() {
       try {
         if (!replays) {
-          next = store.applied(session).size() + 1L;
+          next = 1;
         }
         while (!moved && store.isHighest(session, epoch) && connections.contains(this)) {
           String line = store.line(session, epoch, next, WAIT_MILLIS);
--- a/lab/src/main/java/lemondeal/lab/stream/StreamSite.java
+++ b/lab/src/main/java/lemondeal/lab/stream/StreamSite.java
@@ -27,6 +27,7 @@
   private final Map<String, StreamServer> servers = new LinkedHashMap<>();
   private final List<ServeProcess> proxies = new ArrayList<>();
   private final AtomicInteger turn = new AtomicInteger();
+  private volatile int only = -1;
   private final Path operatorFile;
 
   /**
@@ -61,6 +62,11 @@
         """.formatted(claimsIn, resume.indent(2)));
   }
 
+  /** Claims are made on disk from the next start of a proxy on. */
+  public void useDisk() throws IOException {
+    write("", "disk, folder: claims");
+  }
+
   /** Runs a command of the program to its end. */
   public static String run(String... words) throws IOException, InterruptedException {
     Process process = new ProcessBuilder(ServeProcess.command(words)).redirectErrorStream(true).start();
@@ -118,8 +124,16 @@
     listing.list(id, servers.get(id).address(), "terminated");
   }
 
+  /** Has the front send all to one proxy; -1 for all of them. */
+  public void frontOnly(int proxy) {
+    only = proxy;
+  }
+
   /** The plain front: proxies in turn, those that are alive. */
   public InetSocketAddress front() {
+    if (only >= 0) {
+      return proxies.get(only).address();
+    }
     for (int i = 0; i < proxies.size(); i++) {
       ServeProcess proxy = proxies.get(Math.floorMod(turn.getAndIncrement(), proxies.size()));
       if (proxy.isAlive()) {
--- a/lab/src/test/java/lemondeal/lab/stream/DrainDayTest.java
+++ b/lab/src/test/java/lemondeal/lab/stream/DrainDayTest.java
@@ -33,15 +33,11 @@
     try (StreamSite site = new StreamSite(3, SERVERS, "checkpoint: 500ms")) {
       List<ResumingClient> clients = clients(site, CLIENTS, LINES, PACE_MILLIS);
       List<Thread> threads = StreamSite.start(clients);
-      while (site.store().size() < CLIENTS) {
-        Thread.sleep(20);
-      }
+      site.store().awaitTaken(CLIENTS);
       for (int i = 1; i <= SERVERS; i++) {
         site.addServer("t-" + i);
         site.drain("s-" + i);
-        while (site.server("s-" + i).standing() > 0) {
-          Thread.sleep(20);
-        }
+        site.server("s-" + i).awaitEmpty();
         if (i % 3 == 0) {
           site.kill("t-" + i);
         }
@@ -52,4 +48,42 @@
       assertTrue(continued >= CLIENTS, "went on " + continued + " times");
     }
   }
+
+  /** Every proxy dies and comes back knowing nothing: tokens of a proxy that is gone are good at any other. */
+  @Test
+  void everyProxyDiesOnce() throws Exception {
+    try (StreamSite site = new StreamSite(3, 2, "checkpoint: 200ms")) {
+      List<ResumingClient> clients = clients(site, 60, 50, PACE_MILLIS);
+      List<Thread> threads = StreamSite.start(clients);
+      site.store().awaitTaken(60);
+      for (int i = 0; i < 3; i++) {
+        site.proxies().get(i).kill();
+        site.startProxy(i, 3);
+      }
+      StreamSite.await(threads);
+      assertEquals(List.of(), StreamChecker.breaches(site.store(), clients));
+    }
+  }
+
+  /** A planned restart: all are moved with a token, none is cut off, and the process leaves in time. */
+  @Test
+  void aStopMovesAllThatAProxyCanHold() throws Exception {
+    int count = 750;
+    try (StreamSite site = new StreamSite(3, 4, "checkpoint: 5s")) {
+      site.frontOnly(0);
+      List<ResumingClient> clients = clients(site, count, 8, 1000);
+      List<Thread> threads = StreamSite.start(clients);
+      site.store().awaitTaken(count);
+      site.frontOnly(-1);
+      site.proxies().get(0).stop();
+      assertEquals(0, site.proxies().get(0).awaitEnd());
+      StreamSite.await(threads);
+      assertEquals(List.of(), StreamChecker.breaches(site.store(), clients));
+      int moved = clients.stream().mapToInt(client -> client.notes().getOrDefault("moved", 0)).sum();
+      assertEquals(count, moved);
+      int last = clients.stream().mapToInt(client -> client.notes().getOrDefault("up", 0)
+          - client.notes().getOrDefault("moved", 0)).sum();
+      assertEquals(count, last, "each connection but the last one of a client ended with MOVE");
+    }
+  }
 }
--- a/proxy/src/main/java/lemondeal/Extras.java
+++ b/proxy/src/main/java/lemondeal/Extras.java
@@ -60,7 +60,7 @@
       return switch (section.claims()) {
         case MEMORY -> new MemoryStore(section.mostClaims(), System::currentTimeMillis);
         case DISK -> DiskStore.open(section.folder(), section.mostClaims(), System::currentTimeMillis, log);
-        case FLEET -> FleetStore.open(section.store(), section.settings().patience());
+        case FLEET -> FleetStore.open(section.store(), section.settings().patience(), log);
       };
     } catch (IOException e) {
       throw new ConfigException("claims in " + section.folder() + ": " + e.getMessage());
--- a/proxy/src/main/java/lemondeal/claims/FleetStore.java
+++ b/proxy/src/main/java/lemondeal/claims/FleetStore.java
@@ -4,6 +4,7 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.grpc.ManagedChannel;
 import io.grpc.Status;
+import io.grpc.StatusRuntimeException;
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
 import io.grpc.stub.StreamObserver;
 import java.net.InetSocketAddress;
@@ -15,6 +16,8 @@
 import lemondeal.claims.wire.CompareAndSetRequest;
 import lemondeal.claims.wire.Entry;
 import lemondeal.claims.wire.ReadRequest;
+import lemondeal.config.Addresses;
+import lemondeal.log.EventLog;
 
 /**
  * The states of a whole fleet, in a store that the operators run behind {@code claims.proto}. Each call has a deadline; a
@@ -22,6 +25,8 @@
  */
 public final class FleetStore implements CasStore {
   private static final long CLOSE_SECONDS = 1;
+  private static final long FIRST_CALL_MILLIS = 3000;
+  private static final int KEY_BYTES = 16;
 
   private final ManagedChannel channel;
   private final ClaimStoreGrpc.ClaimStoreStub stub;
@@ -33,10 +38,26 @@
     stub = ClaimStoreGrpc.newStub(channel);
   }
 
-  /** {@code patience}: milliseconds that a call may take. Connects when first used, and again whenever it has to. */
-  public static FleetStore open(InetSocketAddress address, long patience) {
+  /**
+   * Connects, and again whenever it has to. Guards the first clients: the library takes half a second over its first
+   * call, in which each claim was late. A store that is away at the start is told in the log and no reason not to serve.
+   *
+   * @param patience milliseconds that a call may take
+   */
+  public static FleetStore open(InetSocketAddress address, long patience, EventLog log) {
     ManagedChannel channel = NettyChannelBuilder.forAddress(address).usePlaintext()
         .keepAliveTime(10, TimeUnit.SECONDS).build();
+    try {
+      ClaimStoreGrpc.ClaimStoreBlockingStub first = ClaimStoreGrpc.newBlockingStub(channel)
+          .withDeadlineAfter(FIRST_CALL_MILLIS, TimeUnit.MILLISECONDS);
+      ByteString noSession = ByteString.copyFrom(new byte[KEY_BYTES]);
+      first.read(ReadRequest.newBuilder().setKey(noSession).build());
+      // Writes nothing: no key has that version.
+      first.compareAndSet(CompareAndSetRequest.newBuilder().setKey(noSession).setExpectedVersion(Long.MAX_VALUE).build());
+    } catch (StatusRuntimeException e) {
+      log.warn("claims-away", "lemondeal: the claim store at " + Addresses.text(address) + " does not answer: "
+          + e.getStatus().getCode(), "store", Addresses.text(address));
+    }
     return new FleetStore(channel, patience);
   }
 
