End the claims' disk thread for certain when the proxy stops

Cause: the order to stop lay in the middle of a batch of jobs, behind it jobs that its answers had brought, and was passed over; the thread then waited for ever and with it the end of the process. Change: the thread goes on behind the order until nothing is left; the stop waits 1 s for it at most. Measured: 20 stops under load, each answers all 50 claims and ends within 0.9 s (a test; without the change it waits).

--- a/proxy/src/main/java/lemondeal/claims/DiskStore.java
+++ b/proxy/src/main/java/lemondeal/claims/DiskStore.java
@@ -24,6 +24,8 @@
  */
 public final class DiskStore implements CasStore {
   private static final int QUEUE = 4096;
+  /** A disk that hangs must not hold up the end of the process. */
+  private static final long CLOSE_MILLIS = 1000;
   private static final int BATCH = 512;
   /** A log is worth a new snapshot when it is this many times as long as what it says, and not short. */
   private static final int WASTE = 4;
@@ -85,14 +87,16 @@
 
   // ---- The thread's own -----------------------------------------------------------------------
 
+  /** Goes on behind the order to stop until nothing is left: an answer may have brought the next job with it. */
   private void work() {
-    List<Job> batch = new ArrayList<>(BATCH);
+    boolean stopping = false;
     try {
-      while (batch.isEmpty() || batch.get(batch.size() - 1) != STOP) {
-        batch.clear();
+      while (!stopping || !jobs.isEmpty()) {
+        List<Job> batch = new ArrayList<>();
         batch.add(jobs.take());
         jobs.drainTo(batch, BATCH - 1);
-        carryOut(batch.stream().filter(job -> job != STOP).toList());
+        stopping |= batch.remove(STOP);
+        carryOut(batch);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
@@ -217,7 +221,7 @@
   public void close() {
     try {
       jobs.put(STOP);
-      thread.join();
+      thread.join(CLOSE_MILLIS);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
     }
--- a/proxy/src/test/java/lemondeal/claims/DiskStoreTest.java
+++ b/proxy/src/test/java/lemondeal/claims/DiskStoreTest.java
@@ -176,6 +176,23 @@
         written -> write(store, session, version + 1, left - 1, done));
   }
 
+  /** The order to stop once came in the middle of a batch and was passed over: the process never ended. */
+  @Test
+  void stopsWhileAnswersBringFurtherJobs() throws Exception {
+    for (int round = 0; round < 20; round++) {
+      DiskStore store = open(folder.resolve("stop-" + round));
+      List<ClaimAnswer> answers = java.util.Collections.synchronizedList(new ArrayList<>());
+      for (int session = 0; session < 50; session++) {
+        new CasClaims(store, () -> NOW).claim(
+            new Claim(String.format("%032x", session), 16, "h", 1000, NOW + 50_000), answers::add);
+      }
+      long begun = System.nanoTime();
+      store.close();
+      assertTrue(System.nanoTime() - begun < TimeUnit.MILLISECONDS.toNanos(900), "waited for a thread that goes on");
+      assertEquals(50, answers.size(), "all were answered");
+    }
+  }
+
   /** During an upgrade two processes would write one log. */
   @Test
   void aSecondOneIsToldThatTheFolderIsHeld() throws Exception {
