--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,13 @@
 MAVEN := mvn -B
 JAR := proxy/target/lemondeal.jar
 ARCHIVE := proxy/target/lemondeal.jsa
+LAB = java -cp lab/target/classes:$$(cat lab/target/classpath.txt) lemondeal.lab.Lab
 # Memory is bounded on every side: heap, classes, code, stacks and buffers off the heap; in all to about half of the
 # least machine on which two processes ever run side by side.
 JAVA := java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms16m -Xmx32m -XX:MaxMetaspaceSize=24m \
 	-XX:ReservedCodeCacheSize=12m -XX:MaxDirectMemorySize=16m -Xss512k -XX:-UsePerfData
 
-.PHONY: build jar archive test lint measure-resume run clean
+.PHONY: build jar archive test lint lab measure-resume drain-day run clean
 
 build: jar archive
 
@@ -29,10 +30,15 @@
 	$(MAVEN) -q clean test-compile -Dmaven.compiler.failOnWarning=true
 
 # Resumable moves beside plain ones, on real proxies: about two minutes. The tables are left in lab/target/resume.md.
-measure-resume:
+measure-resume: lab
+	$(LAB) measure-resume --out lab/target/resume.md
+
+# Servers drained in turn under resuming clients: half a minute, told as it goes.
+drain-day: lab
+	$(LAB) drain-day
+
+lab:
 	$(MAVEN) -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/classpath.txt
-	java -cp lab/target/classes:$$(cat lab/target/classpath.txt) lemondeal.lab.Lab measure-resume \
-		--out lab/target/resume.md
 
 run:
 	GW_CONFIG=example/config.json exec $(JAVA) -XX:SharedArchiveFile=$(ARCHIVE) -jar $(JAR) serve
--- a/lab/src/main/java/lemondeal/lab/Lab.java
+++ b/lab/src/main/java/lemondeal/lab/Lab.java
@@ -3,16 +3,18 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.Callable;
 import lemondeal.lab.claims.ClaimStoreServer;
 import lemondeal.lab.measure.Reports;
+import lemondeal.lab.stream.DrainDay;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
 /** The lab's command line: stand-ins to start by hand, and measurements. Never on the platform. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Stand-ins and measurements.",
-    subcommands = {Lab.MeasureResume.class, Lab.ClaimStore.class})
+    subcommands = {Lab.Drains.class, Lab.MeasureResume.class, Lab.ClaimStore.class})
 public final class Lab implements Runnable {
   @CommandLine.Spec
   private CommandLine.Model.CommandSpec spec;
@@ -23,7 +25,44 @@
 
   @Override
   public void run() {
-    throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing: measure-resume or claim-store");
+    throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing: drain-day, measure-resume or claim-store");
+  }
+
+  /** {@code drain-day}. */
+  @Command(name = "drain-day", mixinStandardHelpOptions = true, exitCodeListHeading = "%nExit codes:%n",
+      exitCodeList = {"0:every promise was kept", "1:one was broken, told in a line each", "2:bad use"},
+      description = "Drain the servers of a small site in turn under resuming clients, and check the promises.")
+  static final class Drains implements Callable<Integer> {
+    @Option(names = "--proxies", defaultValue = "3", description = "Real proxies (${DEFAULT-VALUE}).")
+    private int proxies;
+
+    @Option(names = "--servers", defaultValue = "6", description = "Stand-in servers at once (${DEFAULT-VALUE}).")
+    private int servers;
+
+    @Option(names = "--clients", defaultValue = "100", description = "Clients at once (${DEFAULT-VALUE}).")
+    private int clients;
+
+    @Option(names = "--seconds", defaultValue = "20", description = "How long clients send (${DEFAULT-VALUE}).")
+    private int seconds;
+
+    @Option(names = "--pace", defaultValue = "100", description = "Milliseconds between two lines (${DEFAULT-VALUE}).")
+    private int pace;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+      for (int value : new int[] {proxies, servers, clients, seconds, pace}) {
+        if (value < 1 || value > 5000) {
+          throw new CommandLine.ParameterException(spec.commandLine(), "found " + value + "; allowed: 1 to 5000");
+        }
+      }
+      List<String> breaches = new DrainDay(proxies, servers, clients, System.err).run(seconds, pace);
+      breaches.forEach(System.out::println);
+      System.out.println(breaches.size() + " promises broken");
+      return breaches.isEmpty() ? CommandLine.ExitCode.OK : CommandLine.ExitCode.SOFTWARE;
+    }
   }
 
   /** {@code measure-resume}. */
