Keep the half of a line that was held back when a session ends inside it

Cause: a session passes its server's lines on whole; at RESUME off window the rest of a line went back to passing bytes as they come, and what the parser held of the line was lost: the client got 'ne' of 'half a line'. Found by reading the change again. Change: a connection on which a session has stood passes whole lines to its end. Measured: the new test failed before and passes now, with those of the proxy, the recorded conversation and the session model.

--- a/proxy/src/main/java/lemondeal/resume/Resumable.java
+++ b/proxy/src/main/java/lemondeal/resume/Resumable.java
@@ -40,7 +40,10 @@
   private String anew = "";
   private Claim claim;
   private boolean entered;
+  /** Whether it can be resumed. */
   private boolean tracked;
+  /** Stays so once a session has stood: what has come of a line is held back, and must be passed on with its rest. */
+  private boolean wholeLines;
   private boolean moved;
   private long tokenAt;
   private long tokenToClient;
@@ -174,6 +177,7 @@
       return "RESUME " + how + " -" + END;
     }
     tracked = true;
+    wholeLines = true;
     later();
     return "RESUME " + how + " " + token() + END;
   }
@@ -188,7 +192,7 @@
 
   @Override
   public boolean passesWholeLines() {
-    return tracked;
+    return wholeLines;
   }
 
   @Override
@@ -223,7 +227,7 @@
 
   @Override
   public boolean answers(ServerLine line) {
-    return !tracked || !line.isAcknowledgement();
+    return !wholeLines || !line.isAcknowledgement();
   }
 
   @Override
--- a/proxy/src/test/java/lemondeal/proxy/ResumeTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ResumeTest.java
@@ -329,6 +329,20 @@
     }
   }
 
+  /** A session that ends inside a server's line: what had come of the line was kept back, and once got lost. */
+  @Test
+  void aSessionThatEndsInsideALineLosesNothingOfIt() throws Exception {
+    try (Site site = site(inMemory())) {
+      Session session = begin(site);
+      session.server().send("whole\r\nhalf a li");
+      assertEquals("whole", line(session.client()));
+      session.client().send("1\r\n2\r\n3\r\n4\r\n5\r\n");
+      assertEquals("RESUME off window", line(session.client()));
+      session.server().send("ne\r\n");
+      assertEquals("half a line", session.client().line());
+    }
+  }
+
   @Test
   void withoutRoomForOneMoreItIsToldSo() throws Exception {
     Resumption one = new Resumption(settings(4, 1, 2000), keys("k1"), inMemory(), "n0", System::currentTimeMillis);
