--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Memory is bounded on every side: heap, classes, code, stacks and buffers off the heap; in all to about half of the
 # least machine on which two processes ever run side by side.
 JAVA := java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms16m -Xmx32m -XX:MaxMetaspaceSize=24m \
-	-XX:ReservedCodeCacheSize=12m -XX:MaxDirectMemorySize=16m -Xss512k -XX:-UsePerfData
+	-XX:ReservedCodeCacheSize=12m -XX:MaxDirectMemorySize=16m -Xss512k -XX:-UsePerfData -Djava.net.preferIPv4Stack=true
 
 .PHONY: build jar archive test lint lab measure-resume drain-day run clean
 
