Let a client's new token settle the grant that a killed proxy never settled

A proxy killed between a resumed attempt's UP and its settle leaves the claim held: ClaimRules.claim answered Held to the client's own new token (epoch fence+i, given out only with that UP) until the lease ran out, 10 s by default, and the client was told BUSY over and over meanwhile.

claim() now grants a token whose epoch is at or above the held grant's fence: only an attempt of that grant that came up can have made it, so it settles the grant by itself; tokens below it are used from then on. A client that never got its RESUME line still waits for the lease, as it must.

--- a/proxy/src/main/java/lemondeal/claims/ClaimRules.java
+++ b/proxy/src/main/java/lemondeal/claims/ClaimRules.java
@@ -19,12 +19,16 @@
   /** The answer and the state to be written; null where nothing changes. */
   public record Step(ClaimAnswer answer, ClaimState next) {}
 
-  /** Asks for the right to go on from a token. */
+  /**
+   * Asks for the right to go on from a token. A token of the held grant's own epochs was made after one of its attempts
+   * came up, since no other gives them out: it settles that grant itself, and its client need not wait for a word that
+   * a proxy killed after the {@code UP} never sent.
+   */
   public static Step claim(ClaimState state, Claim claim, long now) {
     if (claim.epoch() < state.committed()) {
       return new Step(new ClaimAnswer.Used(), null);
     }
-    if (state.isHeld(now) && !state.isHeldBy(claim.holder())) {
+    if (state.isHeld(now) && !state.isHeldBy(claim.holder()) && claim.epoch() < state.fence()) {
       return new Step(new ClaimAnswer.Held(state.leaseUntil() - now), null);
     }
     long fence = above(Math.max(state.fence(), claim.epoch()));
