Speak TLS to a fleet's claim store at several addresses, and bound rings by the operator

- claims.store takes a list of one store's addresses; gRPC's pick_first tries them in turn through a resolver of fixed addresses (StoreAddresses). claims.tls gives the authority, the proxy's certificate and key, and the name the store's certificate must bear; SIGHUP reads them again, and a file that can't be used leaves the channel before.
The lab's stand-in store speaks TLS, asks for client certificates, and has replicas that share one store; TestAuthority (BouncyCastle) makes the certificates.
- A settle or a giving back that the store leaves unanswered is sent up to three times.
Seen in one of four full runs of the new TLS hard case: the settle was lost with the first address, the lease held 10 s and the old token was granted again (ERR used expected, UP seen).
A unit test with a store that fails twice fails with one word (Unknown) and passes with three.
- limits.rings_mb in the operator's file bounds rings beside an eighth of memory_mb; a bound beyond the JVM's direct memory is refused at the start in one line with exit 2.
The stop test now moves 1000 sessions with 20 MB.

--- a/lab/src/main/java/lemondeal/lab/claims/ClaimStoreServer.java
+++ b/lab/src/main/java/lemondeal/lab/claims/ClaimStoreServer.java
@@ -3,11 +3,15 @@
 import com.google.protobuf.ByteString;
 import io.grpc.Server;
 import io.grpc.Status;
+import io.grpc.netty.shaded.io.grpc.netty.GrpcSslContexts;
 import io.grpc.netty.shaded.io.grpc.netty.NettyServerBuilder;
+import io.grpc.netty.shaded.io.netty.handler.ssl.ClientAuth;
+import io.grpc.netty.shaded.io.netty.handler.ssl.SslContextBuilder;
 import io.grpc.stub.StreamObserver;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -33,14 +37,50 @@
     GRANTS_ALL
   }
 
-  private final Map<ByteString, Entry> entries = new HashMap<>();
+  /**
+   * How it speaks TLS.
+   *
+   * @param certificate its certificate chain, PEM
+   * @param key its private key, PKCS#8 PEM
+   * @param clients the authority that clients' certificates are checked against; null where none is asked for
+   */
+  public record Tls(Path certificate, Path key, Path clients) {}
+
+  /** Shared by all replicas of one store, and the lock of each call. */
+  private final Map<ByteString, Entry> entries;
+  private final Tls tls;
   private final Server server;
   private volatile Mood mood = Mood.ANSWERS;
   private long calls;
 
+  /** A store in plain text. */
   public ClaimStoreServer() throws IOException {
-    server = NettyServerBuilder.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
-        .addService(new Calls()).build().start();
+    this(new HashMap<>(), null);
+  }
+
+  /** A store that speaks TLS alone. */
+  public ClaimStoreServer(Tls tls) throws IOException {
+    this(new HashMap<>(), tls);
+  }
+
+  private ClaimStoreServer(Map<ByteString, Entry> entries, Tls tls) throws IOException {
+    this.entries = entries;
+    this.tls = tls;
+    NettyServerBuilder builder = NettyServerBuilder.forAddress(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0))
+        .addService(new Calls());
+    if (tls != null) {
+      SslContextBuilder context = GrpcSslContexts.forServer(tls.certificate().toFile(), tls.key().toFile());
+      if (tls.clients() != null) {
+        context.trustManager(tls.clients().toFile()).clientAuth(ClientAuth.REQUIRE);
+      }
+      builder.sslContext(context.build());
+    }
+    server = builder.build().start();
+  }
+
+  /** Another address of the same store: what one replica wrote, all read. Ends on its own. */
+  public ClaimStoreServer replica() throws IOException {
+    return new ClaimStoreServer(entries, tls);
   }
 
   public InetSocketAddress address() {
@@ -51,17 +91,27 @@
     mood = newMood;
   }
 
-  public synchronized long calls() {
-    return calls;
+  public long calls() {
+    synchronized (entries) {
+      return calls;
+    }
   }
 
-  private synchronized Entry read(ByteString key) {
-    calls++;
-    return mood == Mood.GRANTS_ALL ? Entry.getDefaultInstance() : entries.getOrDefault(key, Entry.getDefaultInstance());
+  private Entry read(ByteString key) {
+    synchronized (entries) {
+      calls++;
+      return mood == Mood.GRANTS_ALL ? Entry.getDefaultInstance() : entries.getOrDefault(key, Entry.getDefaultInstance());
+    }
+  }
+
+  private CompareAndSetReply compareAndSet(CompareAndSetRequest request) {
+    synchronized (entries) {
+      calls++;
+      return written(request);
+    }
   }
 
-  private synchronized CompareAndSetReply compareAndSet(CompareAndSetRequest request) {
-    calls++;
+  private CompareAndSetReply written(CompareAndSetRequest request) {
     Entry now = entries.getOrDefault(request.getKey(), Entry.getDefaultInstance());
     boolean written = mood == Mood.GRANTS_ALL || now.getVersion() == request.getExpectedVersion();
     if (written) {
--- a/lab/src/main/java/lemondeal/lab/measure/ClaimRate.java
+++ b/lab/src/main/java/lemondeal/lab/measure/ClaimRate.java
@@ -4,6 +4,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Comparator;
+import java.util.List;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
@@ -44,7 +45,7 @@
 
   static double fleet(long millis) throws IOException, InterruptedException {
     try (ClaimStoreServer server = new ClaimStoreServer()) {
-      return rate(FleetStore.open(server.address(), 5000, new PlainLog(System.err)), UNDER_WAY, millis);
+      return rate(FleetStore.open(List.of(server.address()), null, 5000, new PlainLog(System.err)), UNDER_WAY, millis);
     }
   }
 
--- a/lab/src/main/java/lemondeal/lab/stream/StreamSite.java
+++ b/lab/src/main/java/lemondeal/lab/stream/StreamSite.java
@@ -15,6 +15,7 @@
 import lemondeal.lab.Listing;
 import lemondeal.lab.ServeProcess;
 import lemondeal.lab.claims.ClaimStoreServer;
+import lemondeal.lab.claims.TestAuthority;
 
 /** A small site on loopback: real proxies in processes of their own, stand-in servers, discovery and claim store. */
 public final class StreamSite implements AutoCloseable {
@@ -29,6 +30,9 @@
   private final AtomicInteger turn = new AtomicInteger();
   private volatile int only = -1;
   private final Path operatorFile;
+  /** Stores that speak TLS, where there are any. */
+  private final List<ClaimStoreServer> stores = new ArrayList<>();
+  private final String more;
 
   /**
    * Starts so many proxies and servers.
@@ -36,6 +40,17 @@
    * @param resume lines of the operator's section {@code resume} beside classes, keys and claims; null for no such file
    */
   public StreamSite(int proxyCount, int serverCount, String resume) throws IOException, InterruptedException {
+    this(proxyCount, serverCount, resume, "");
+  }
+
+  /**
+   * The same, with more sections of the operator's file.
+   *
+   * @param more whole sections beside {@code version} and {@code resume}, such as {@code limits: {rings_mb: 20}}
+   */
+  public StreamSite(int proxyCount, int serverCount, String resume, String more)
+      throws IOException, InterruptedException {
+    this.more = more;
     folder = Files.createTempDirectory("lemondeal-lab");
     claims = new ClaimStoreServer();
     operatorFile = resume == null ? null : folder.resolve("operator.yaml");
@@ -54,12 +69,31 @@
   private void write(String resume, String claimsIn) throws IOException {
     Files.writeString(operatorFile, """
         version: 1
+        %s
         resume:
           classes: [order-sync]
           keys: keys.yaml
           claims: {in: %s}
         %s
-        """.formatted(claimsIn, resume.indent(2)));
+        """.formatted(more, claimsIn, resume.indent(2)));
+  }
+
+  /**
+   * From the next start of a proxy on, claims are made in a store of two addresses that speaks TLS alone and asks each
+   * proxy for a certificate of the lab's authority. Returns the two replicas, first address first.
+   */
+  public List<ClaimStoreServer> useTls() throws IOException {
+    TestAuthority authority = TestAuthority.make("lab-claims");
+    Path trusted = authority.writeAuthority(folder.resolve("claims-ca.pem"));
+    TestAuthority.Issued store = authority.issue(folder, "claims-store", "claims.lab.test");
+    TestAuthority.Issued proxy = authority.issue(folder, "proxy", "proxy.lab.test");
+    ClaimStoreServer first = new ClaimStoreServer(new ClaimStoreServer.Tls(store.certificate(), store.key(), trusted));
+    stores.add(first);
+    stores.add(first.replica());
+    write("", "fleet, store: ['127.0.0.1:%d', '127.0.0.1:%d'],\n"
+        .formatted(first.address().getPort(), stores.get(1).address().getPort())
+        + "    tls: {authority: claims-ca.pem, certificate: proxy.pem, key: proxy.key, name: claims.lab.test}");
+    return List.copyOf(stores);
   }
 
   /** Claims are made on disk from the next start of a proxy on. */
@@ -187,6 +221,7 @@
     servers.values().forEach(StreamServer::kill);
     listing.close();
     claims.close();
+    stores.forEach(ClaimStoreServer::close);
     try (Stream<Path> files = Files.walk(folder)) {
       files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
     } catch (IOException e) {
--- /dev/null
+++ b/lab/src/test/java/lemondeal/lab/OperatorLimitsTest.java
@@ -0,0 +1,48 @@
+package lemondeal.lab;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Rings that the JVM can't hold are refused at the start, in one line, before a client could be taken in. */
+@Timeout(60)
+class OperatorLimitsTest {
+  @TempDir
+  Path folder;
+
+  @Test
+  void ringsBeyondTheDirectMemoryAreOneLineAndExitTwo() throws Exception {
+    Path config = folder.resolve("config.json");
+    Files.writeString(config, """
+        {"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{"sockets":1024,"memory_mb":4096},
+         "known":{"generation":0,"reset":true,"instances":[]},"settings":{}}
+        """);
+    Path operator = folder.resolve("operator.yaml");
+    Files.writeString(operator, "version: 1\nlimits: {rings_mb: 200}\n");
+    ProcessBuilder builder = new ProcessBuilder(ServeProcess.command("serve", "--config", operator.toString()))
+        .redirectErrorStream(true);
+    builder.environment().keySet().removeIf(name -> name.startsWith("GW_"));
+    builder.environment().put("GW_CONFIG", config.toString());
+    Process serve = builder.start();
+    String said = new String(serve.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    assertTrue(serve.waitFor(30, TimeUnit.SECONDS));
+    assertEquals(2, serve.exitValue(), said);
+    // The lab's proxies run with -Xmx96m and no bound of their own on direct memory: the heap's bound holds.
+    Matcher matcher = Pattern.compile("limits\\.rings_mb: found 200; allowed: at most ([0-9]+) with this JVM's ([0-9]+) MB")
+        .matcher(said);
+    assertTrue(matcher.find(), said);
+    int most = Integer.parseInt(matcher.group(2));
+    assertTrue(most > 64 && most <= 96, said);
+    assertEquals(most - 4, Integer.parseInt(matcher.group(1)), said);
+    assertEquals(1, said.lines().filter(line -> line.startsWith("lemondeal:")).count(), said);
+  }
+}
--- a/lab/src/test/java/lemondeal/lab/stream/DrainDayTest.java
+++ b/lab/src/test/java/lemondeal/lab/stream/DrainDayTest.java
@@ -65,11 +65,14 @@
     }
   }
 
-  /** A planned restart: all are moved with a token, none is cut off, and the process leaves in time. */
+  /**
+   * A planned restart of a proxy with a thousand sessions: all are moved with a token, none is cut off, and the process
+   * leaves in time. Rings of 12 MB, as on the platform, would hold 768 clients; the operator's file gives 20.
+   */
   @Test
-  void aStopMovesAllThatAProxyCanHold() throws Exception {
-    int count = 750;
-    try (StreamSite site = new StreamSite(3, 4, "checkpoint: 5s")) {
+  void aStopMovesAThousandSessions() throws Exception {
+    int count = 1000;
+    try (StreamSite site = new StreamSite(3, 4, "checkpoint: 5s", "limits: {rings_mb: 20}")) {
       site.frontOnly(0);
       List<ResumingClient> clients = clients(site, count, 8, 1000);
       List<Thread> threads = StreamSite.start(clients);
@@ -80,10 +83,22 @@
       StreamSite.await(threads);
       assertEquals(List.of(), StreamChecker.breaches(site.store(), clients));
       int moved = clients.stream().mapToInt(client -> client.notes().getOrDefault("moved", 0)).sum();
-      assertEquals(count, moved);
+      assertEquals(count, moved, () -> clients.stream().filter(client -> client.notes().getOrDefault("moved", 0) != 1)
+          .map(client -> client.name() + " " + client.notes()).toList() + "\n" + logs(site));
       int last = clients.stream().mapToInt(client -> client.notes().getOrDefault("up", 0)
           - client.notes().getOrDefault("moved", 0)).sum();
       assertEquals(count, last, "each connection but the last one of a client ended with MOVE");
     }
   }
+
+  /** What the proxies said, for a failure's message. */
+  private static String logs(StreamSite site) {
+    StringBuilder all = new StringBuilder();
+    for (int i = 0; i < site.proxies().size(); i++) {
+      for (String line : site.proxies().get(i).log()) {
+        all.append(i).append(": ").append(line).append('\n');
+      }
+    }
+    return all.toString();
+  }
 }
--- a/lab/src/test/java/lemondeal/lab/stream/HardCasesTest.java
+++ b/lab/src/test/java/lemondeal/lab/stream/HardCasesTest.java
@@ -237,6 +237,28 @@
     }
   }
 
+  /**
+   * Claims in a store that speaks TLS at two addresses: a session goes on across proxies while the first address is
+   * lost, and its token is good once.
+   */
+  @Test
+  void aStoreBehindTlsAtTwoAddressesKeepsATokenGoodOnce() throws Exception {
+    try (StreamSite site = new StreamSite(2, 1, "")) {
+      List<ClaimStoreServer> stores = site.useTls();
+      for (int i = 0; i < 2; i++) {
+        site.proxies().get(i).kill();
+        site.startProxy(i, 2);
+      }
+      String first = up(site, 0, "", 0).token();
+      String second = up(site, 1, first, 0).token();
+      assertTrue(stores.get(0).calls() > 0, "claims went to the first address");
+      stores.get(0).close();
+      assertEquals("ERR used", settled(site, 0, first), "the second address knows what the first one was told");
+      assertTrue(up(site, 0, second, 0).resume().startsWith("RESUME at "));
+      assertTrue(stores.get(1).calls() > 0);
+    }
+  }
+
   /** Claims on disk: a proxy that dies at once after a claim does not allow the token a second time. */
   @Test
   void aRestartDoesNotAllowATokenTwice() throws Exception {
--- a/proxy/src/main/java/lemondeal/Extras.java
+++ b/proxy/src/main/java/lemondeal/Extras.java
@@ -8,8 +8,10 @@
 import lemondeal.claims.DiskStore;
 import lemondeal.claims.FleetStore;
 import lemondeal.claims.MemoryStore;
+import lemondeal.claims.StoreTls;
 import lemondeal.config.Config;
 import lemondeal.config.ConfigException;
+import lemondeal.config.Limits;
 import lemondeal.log.JsonLog;
 import lemondeal.log.EventLog;
 import lemondeal.log.PlainLog;
@@ -22,29 +24,41 @@
 final class Extras implements AutoCloseable {
   private final Path file;
   private final Operator operator;
-  private final EventLog log;
-  private final Resumption resumption;
+  private EventLog log;
+  private Resumption resumption;
+  /** Null unless claims are made in a fleet's store. */
+  private FleetStore fleet;
 
-  private Extras(Path file, Operator operator, EventLog log, Resumption resumption) {
+  private Extras(Path file, Operator operator) {
     this.file = file;
     this.operator = operator;
-    this.log = log;
-    this.resumption = resumption;
   }
 
   /** Reads the file; what can't be used throws, with all faults. */
-  static Extras read(Path file, Config config) {
+  static Extras read(Path file) {
     try {
       Operator operator = Operator.read(file);
-      EventLog log = operator.jsonLog() ? new JsonLog(System.err, config.name()) : new PlainLog(System.err);
-      return new Extras(file, operator, log, operator.resume() == null ? null
-          : resumption(file, operator.resume(), config, log));
+      if (operator.ringsMb() > 0) {
+        DirectMemory.check(file, operator.ringsMb());
+      }
+      return new Extras(file, operator);
     } catch (FileFaults e) {
       throw new ConfigException(e.getMessage());
     }
   }
 
-  private static Resumption resumption(Path file, Operator.Resume section, Config config, EventLog log) {
+  /** Megabytes that ring buffers may take at most. */
+  int ringsMb() {
+    return operator.ringsMb() > 0 ? operator.ringsMb() : Limits.RINGS_MB;
+  }
+
+  /** Makes what the proxy is to have: the log, and the claims and keys of sessions that can resume. */
+  void begin(Config config) {
+    log = operator.jsonLog() ? new JsonLog(System.err, config.name()) : new PlainLog(System.err);
+    resumption = operator.resume() == null ? null : resumption(file, operator.resume(), config, log);
+  }
+
+  private Resumption resumption(Path file, Operator.Resume section, Config config, EventLog log) {
     List<String> classes = config.names().classes();
     for (String name : section.settings().classes()) {
       if (!classes.contains(name)) {
@@ -55,15 +69,16 @@
         new CasClaims(store(section, log), System::currentTimeMillis), config.name(), System::currentTimeMillis);
   }
 
-  private static CasStore store(Operator.Resume section, EventLog log) {
+  private CasStore store(Operator.Resume section, EventLog log) {
     try {
       return switch (section.claims()) {
         case MEMORY -> new MemoryStore(section.mostClaims(), System::currentTimeMillis);
         case DISK -> DiskStore.open(section.folder(), section.mostClaims(), System::currentTimeMillis, log);
-        case FLEET -> FleetStore.open(section.store(), section.settings().patience(), log);
+        case FLEET -> fleet = FleetStore.open(section.stores(), section.tls(), section.settings().patience(), log);
       };
     } catch (IOException e) {
-      throw new ConfigException("claims in " + section.folder() + ": " + e.getMessage());
+      throw new ConfigException("claims in " + (section.claims() == Operator.ClaimsIn.DISK ? section.folder()
+          : "the fleet's store") + ": " + e.getMessage());
     }
   }
 
@@ -76,14 +91,25 @@
     return resumption;
   }
 
-  /** Takes the keys over as they are now; throws what is wrong with them, and the old ones stay. */
+  /**
+   * Takes the keys over as they are now, and the certificates towards the fleet's store; throws what is wrong with them,
+   * and what was used before stays.
+   */
   void reload() {
     if (resumption == null) {
       return;
     }
     resumption.use(KeyFile.read(operator.resume().keys()));
-    log.info("keys-reload", "lemondeal: keys read anew" + (operator.equals(Operator.read(file)) ? ""
-        : "; other changes of " + file + " count from the next start"));
+    StoreTls tls = operator.resume().tls();
+    if (fleet != null && tls != null) {
+      try {
+        fleet.reload(tls);
+      } catch (IOException e) {
+        throw new ConfigException(file + ": resume.claims.tls: " + e.getMessage() + "; the certificates before stay");
+      }
+    }
+    log.info("keys-reload", "lemondeal: keys" + (tls == null ? "" : " and certificates") + " read anew"
+        + (operator.equals(Operator.read(file)) ? "" : "; other changes of " + file + " count from the next start"));
   }
 
   @Override
--- a/proxy/src/main/java/lemondeal/Serve.java
+++ b/proxy/src/main/java/lemondeal/Serve.java
@@ -25,8 +25,11 @@
    */
   public static int run(Map<String, String> environment, Path operatorFile) {
     try {
-      Config config = Config.read(environment);
-      Extras extras = operatorFile == null ? null : Extras.read(operatorFile, config);
+      Extras extras = operatorFile == null ? null : Extras.read(operatorFile);
+      Config config = extras == null ? Config.read(environment) : Config.read(environment, extras.ringsMb());
+      if (extras != null) {
+        extras.begin(config);
+      }
       EventLog log = extras == null ? new PlainLog(System.err) : extras.log();
       Proxy proxy = new Proxy(config, new Logic(), log, extras == null ? null : extras.resumption());
       Reload reload = new Reload(config, environment, proxy::reconfigure, log,
--- a/proxy/src/main/java/lemondeal/claims/CasClaims.java
+++ b/proxy/src/main/java/lemondeal/claims/CasClaims.java
@@ -7,6 +7,11 @@
 public final class CasClaims implements Claims {
   /** Rounds lost to other writers before it is said that nothing can be said. Each loss is another one's success. */
   private static final int ROUNDS = 5;
+  /**
+   * Times that a settle or a giving back is sent when the store says nothing: a call lost with one of the store's
+   * addresses goes to the next. Lost for good, the lease runs out and the fence keeps the session single.
+   */
+  private static final int WORDS = 3;
 
   private final CasStore store;
   private final LongSupplier millis;
@@ -35,12 +40,21 @@
 
   @Override
   public void settle(Claim claim, long epoch) {
-    begin(claim.session(), state -> new ClaimRules.Step(null, ClaimRules.settle(state, claim, epoch)), answer -> { });
+    tell(claim.session(), state -> new ClaimRules.Step(null, ClaimRules.settle(state, claim, epoch)), WORDS);
   }
 
   @Override
   public void giveBack(Claim claim) {
-    begin(claim.session(), state -> new ClaimRules.Step(null, ClaimRules.giveBack(state, claim)), answer -> { });
+    tell(claim.session(), state -> new ClaimRules.Step(null, ClaimRules.giveBack(state, claim)), WORDS);
+  }
+
+  /** A change that nobody waits for, sent again where the store did not answer. */
+  private void tell(String session, Change change, int times) {
+    begin(session, change, answer -> {
+      if (answer instanceof ClaimAnswer.Unknown && times > 1) {
+        tell(session, change, times - 1);
+      }
+    });
   }
 
   private void begin(String session, Change change, Consumer<ClaimAnswer> told) {
--- a/proxy/src/main/java/lemondeal/claims/FleetStore.java
+++ b/proxy/src/main/java/lemondeal/claims/FleetStore.java
@@ -5,12 +5,19 @@
 import io.grpc.ManagedChannel;
 import io.grpc.Status;
 import io.grpc.StatusRuntimeException;
+import io.grpc.netty.shaded.io.grpc.netty.GrpcSslContexts;
 import io.grpc.netty.shaded.io.grpc.netty.NettyChannelBuilder;
+import io.grpc.netty.shaded.io.netty.handler.ssl.SslContext;
+import io.grpc.netty.shaded.io.netty.handler.ssl.SslContextBuilder;
 import io.grpc.stub.StreamObserver;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.HexFormat;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import javax.net.ssl.SSLException;
 import lemondeal.claims.wire.ClaimStoreGrpc;
 import lemondeal.claims.wire.CompareAndSetReply;
 import lemondeal.claims.wire.CompareAndSetRequest;
@@ -28,25 +35,83 @@
   private static final long FIRST_CALL_MILLIS = 3000;
   private static final int KEY_BYTES = 16;
 
-  private final ManagedChannel channel;
-  private final ClaimStoreGrpc.ClaimStoreStub stub;
+  private final List<InetSocketAddress> addresses;
   private final long patience;
+  private final EventLog log;
+  /** Replaced whole when certificates are read anew; calls on the one before run to their end. */
+  private volatile ManagedChannel channel;
+  private volatile ClaimStoreGrpc.ClaimStoreStub stub;
 
-  private FleetStore(ManagedChannel channel, long patience) {
-    this.channel = channel;
+  private FleetStore(List<InetSocketAddress> addresses, long patience, EventLog log) {
+    this.addresses = List.copyOf(addresses);
     this.patience = patience;
-    stub = ClaimStoreGrpc.newStub(channel);
+    this.log = log;
   }
 
   /**
-   * Connects, and again whenever it has to. Guards the first clients: the library takes half a second over its first
-   * call, in which each claim was late. A store that is away at the start is told in the log and no reason not to serve.
+   * Connects, and again whenever it has to: to the first of the addresses that answers, in their order. Guards the first
+   * clients: the library takes half a second over its first call, in which each claim was late. A store that is away at
+   * the start is told in the log and no reason not to serve.
    *
+   * @param addresses of one store, tried in turn
+   * @param tls null for plain text
    * @param patience milliseconds that a call may take
+   * @throws IOException where a file of {@code tls} can't be read or used
    */
-  public static FleetStore open(InetSocketAddress address, long patience, EventLog log) {
-    ManagedChannel channel = NettyChannelBuilder.forAddress(address).usePlaintext()
-        .keepAliveTime(10, TimeUnit.SECONDS).build();
+  public static FleetStore open(List<InetSocketAddress> addresses, StoreTls tls, long patience, EventLog log)
+      throws IOException {
+    FleetStore store = new FleetStore(addresses, patience, log);
+    store.use(store.channel(tls));
+    store.warm();
+    return store;
+  }
+
+  /**
+   * Reads the certificates anew and speaks through a new channel from now on; what the old one still carries ends there.
+   * On SIGHUP.
+   *
+   * @throws IOException where a file can't be read or used: the channel before stays
+   */
+  public void reload(StoreTls tls) throws IOException {
+    ManagedChannel before = channel;
+    use(channel(tls));
+    before.shutdown();
+  }
+
+  private ManagedChannel channel(StoreTls tls) throws IOException {
+    String first = Addresses.text(addresses.get(0));
+    String authority = tls != null && tls.name() != null ? tls.name() : first;
+    @SuppressWarnings("deprecation") // The one way to give a channel addresses without a look-up that is not global.
+    NettyChannelBuilder builder = NettyChannelBuilder.forTarget(StoreAddresses.SCHEME + ":///" + first)
+        .nameResolverFactory(new StoreAddresses(addresses, authority))
+        .keepAliveTime(10, TimeUnit.SECONDS);
+    if (tls == null) {
+      builder.usePlaintext();
+    } else {
+      builder.sslContext(sslContext(tls));
+    }
+    return builder.build();
+  }
+
+  private static SslContext sslContext(StoreTls tls) throws IOException {
+    try {
+      SslContextBuilder builder = GrpcSslContexts.forClient().trustManager(tls.authority().toFile());
+      if (tls.certificate() != null) {
+        builder.keyManager(tls.certificate().toFile(), tls.key().toFile());
+      }
+      return builder.build();
+    } catch (IllegalArgumentException | SSLException e) {
+      throw new IOException("TLS towards the claim store: " + e.getMessage(), e);
+    }
+  }
+
+  private void use(ManagedChannel fresh) {
+    channel = fresh;
+    stub = ClaimStoreGrpc.newStub(fresh);
+  }
+
+  /** Makes the first calls, which are slow, before any client waits for one. */
+  private void warm() {
     try {
       ClaimStoreGrpc.ClaimStoreBlockingStub first = ClaimStoreGrpc.newBlockingStub(channel)
           .withDeadlineAfter(FIRST_CALL_MILLIS, TimeUnit.MILLISECONDS);
@@ -55,10 +120,14 @@
       // Writes nothing: no key has that version.
       first.compareAndSet(CompareAndSetRequest.newBuilder().setKey(noSession).setExpectedVersion(Long.MAX_VALUE).build());
     } catch (StatusRuntimeException e) {
-      log.warn("claims-away", "lemondeal: the claim store at " + Addresses.text(address) + " does not answer: "
-          + e.getStatus().getCode(), "store", Addresses.text(address));
+      String all = addresses.stream().map(Addresses::text).collect(Collectors.joining(", "));
+      log.warn("claims-away", "lemondeal: the claim store at " + all + " does not answer: "
+          + e.getStatus().getCode() + describe(e.getStatus()), "store", all);
     }
-    return new FleetStore(channel, patience);
+  }
+
+  private static String describe(Status status) {
+    return status.getDescription() == null ? "" : " (" + status.getDescription() + ")";
   }
 
   @Override
--- a/proxy/src/main/java/lemondeal/config/Config.java
+++ b/proxy/src/main/java/lemondeal/config/Config.java
@@ -36,12 +36,17 @@
 
   /** Reads {@code GW_CONFIG}; {@code GW_NAME} and the addresses that the environment gives go before it. */
   public static Config read(Map<String, String> environment) {
-    return read(environment, null);
+    return read(environment, null, Limits.RINGS_MB);
+  }
+
+  /** The same, where an operator's own file gives rings {@code ringsMb} megabytes at most. */
+  public static Config read(Map<String, String> environment, int ringsMb) {
+    return read(environment, null, ringsMb);
   }
 
   /** Reads the file again, in a running proxy. What can't be used throws, and this configuration stays. */
   public Config reread(Map<String, String> environment) {
-    return read(environment, this);
+    return read(environment, this, limits.ringsMb());
   }
 
   /** Whether nothing but discovery's address differs, of what a running proxy could take over. */
@@ -50,7 +55,7 @@
         && settings.equals(other.settings) && limits.equals(other.limits);
   }
 
-  private static Config read(Map<String, String> environment, Config before) {
+  private static Config read(Map<String, String> environment, Config before, int ringsMb) {
     String file = environment.get("GW_CONFIG");
     if (file == null || file.isEmpty()) {
       throw new ConfigException("GW_CONFIG names no file");
@@ -73,7 +78,7 @@
         family.flag("tellsDelay") && !family.flag("tellsLoad"),
         Limits.of((int) limits.whole("sockets", DEFAULT_SOCKETS), (int) limits.whole("memory_mb", DEFAULT_MEMORY_MB),
             permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE),
-            longestDeadline(settings.parts("profiles")), inherited));
+            longestDeadline(settings.parts("profiles")), inherited, ringsMb));
   }
 
   /**
--- a/proxy/src/main/java/lemondeal/config/Limits.java
+++ b/proxy/src/main/java/lemondeal/config/Limits.java
@@ -10,6 +10,7 @@
  * @param turnBytes read from one connection before the others have their turn
  * @param lingerBytes read from a closed side at most
  * @param clients client links with a request held at once; those beyond are throttled
+ * @param ringsMb megabytes that ring buffers may take at most, beside the share of the memory that bounds them
  * @param shared whether another process may be running on the same machine, within the same limits
  * @param newcomers connections that have not sent their first line held at once when all client links are taken;
  *     see {@link #newcomers(int)}
@@ -47,7 +48,7 @@
  * @param drainMost the longest that a stop may take
  */
 public record Limits(int lineBytes, int ringBytes, int listLineBytes, int turnBytes, int lingerBytes, int clients,
-    boolean shared, int newcomers, int lingering, int accepted, int accepts, int adminCallers, int adminLine,
+    int ringsMb, boolean shared, int newcomers, int lingering, int accepted, int accepts, int adminCallers, int adminLine,
     long adminCall, long listWithin, long tick, int wheelSlots, long dial, long answerLead, long firstLine,
     long silence, long unease, long moment, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe,
     long probeIdle, long watchSilence, long adoptPause, long adoptFor, long throttleFor, long drainAccept,
@@ -71,9 +72,13 @@
   /** Connections accepted in one go before the oldest of a full crowd are closed. */
   private static final int ACCEPT_SLACK = 6;
   private static final int RING_BYTES = 8192;
-  /** Share of the memory that rings may take, and what the JVM's flags leave for them in any case. */
+  /** Share of the memory that rings may take. */
   private static final int RINGS_PART = 8;
-  private static final int RINGS_MOST_MB = 12;
+  /**
+   * What the platform's JVM flags leave for rings in any case: 16 MB of direct memory, less what XNIO and the JDK take. An
+   * operator's own file may give more, with more direct memory.
+   */
+  public static final int RINGS_MB = 12;
 
   /** A stop may take as long as the longest deadline, counted as this where it is longer, and somewhat more. */
   private static final long DRAIN_DEADLINE = 3 * SECOND;
@@ -88,15 +93,17 @@
 
   /** Derives the counts from what the machine allows, and the times of a stop from the longest deadline. */
   public static Limits of(int sockets, int memoryMb, long dialTimeout, long keepalive, long longestDeadline) {
-    return of(sockets, memoryMb, dialTimeout, keepalive, longestDeadline, false);
+    return of(sockets, memoryMb, dialTimeout, keepalive, longestDeadline, false, RINGS_MB);
   }
 
   /**
    * The same for a process that may share the machine with the one before it or after it. Clients together hold a
    * third of the descriptors at most, wherever they are; all else that both hold has to fit beside them.
+   *
+   * @param ringsMb megabytes that rings may take at most: {@link #RINGS_MB} on the platform
    */
   public static Limits of(int sockets, int memoryMb, long dialTimeout, long keepalive, long longestDeadline,
-      boolean shared) {
+      boolean shared, int ringsMb) {
     int processes = shared ? 2 : 1;
     long drainMost = Math.min(DRAIN_DEADLINE, longestDeadline) + DRAIN_MORE;
     long drainMoves = Math.max(DRAIN_STEP, drainMost - DRAIN_ACCEPT - LINGER - DRAIN_SPARE);
@@ -105,13 +112,13 @@
     int lingering = idle / 3;
     int newcomers = idle - lingering - ACCEPT_SLACK;
     int bySockets = (sockets - processes * (OWN_FILES + OWN_SOCKETS + ADMIN_FILES + idle)) / 2;
-    int byMemory = (Math.min(memoryMb / RINGS_PART, RINGS_MOST_MB) << 20) / (2 * RING_BYTES);
+    int byMemory = (int) (((long) Math.min(memoryMb / RINGS_PART, ringsMb) << 20) / (2 * RING_BYTES));
     int clients = Math.min(bySockets, byMemory);
     if (clients < 1) {
       throw new ConfigException("limits: " + sockets + " sockets and " + memoryMb + " MB leave no room for clients");
     }
     int accepted = shared ? clients + clients / SLOTS_PER_NEWCOMER + idle : 2 * clients + idle;
-    return new Limits(4096, RING_BYTES, 1 << 20, 64 * 1024, 64 * 1024, clients,
+    return new Limits(4096, RING_BYTES, 1 << 20, 64 * 1024, 64 * 1024, clients, ringsMb,
         shared, newcomers, lingering, accepted, 32, ADMIN_CALLERS, 256, 5 * SECOND,
         3 * SECOND, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 400 * MILLI,
         30 * MILLI, 64, LINGER, 5 * SECOND, SECOND, 1.0 / 3, SECOND,
--- a/proxy/src/main/java/lemondeal/operator/Operator.java
+++ b/proxy/src/main/java/lemondeal/operator/Operator.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import lemondeal.claims.StoreTls;
 import lemondeal.config.Addresses;
 import lemondeal.resume.ResumeSettings;
 
@@ -14,11 +15,12 @@
  * The operator's own file, checked: what this installation wants beyond what the platform tells.
  *
  * @param jsonLog whether the log is one JSON object a line
+ * @param ringsMb megabytes that ring buffers may take at most; 0 where the platform's bound holds
  * @param resume null where no client can resume
  */
-public record Operator(boolean jsonLog, Resume resume) {
+public record Operator(boolean jsonLog, int ringsMb, Resume resume) {
   /** What an installation without such a file has. */
-  public static final Operator NONE = new Operator(false, null);
+  public static final Operator NONE = new Operator(false, 0, null);
 
   private static final long SECOND = 1000;
   private static final long DAY = 24 * 3600 * SECOND;
@@ -34,17 +36,19 @@
    *
    * @param keys the key file
    * @param folder null unless claims are made on disk
-   * @param store null unless claims are made in a store shared by a fleet
+   * @param stores the addresses of one store shared by a fleet, tried in turn; empty unless claims are made there
+   * @param tls how the store is spoken to; null for plain text
    * @param mostClaims sessions held in memory or on disk
    */
-  public record Resume(ResumeSettings settings, Path keys, ClaimsIn claims, Path folder, InetSocketAddress store,
-      int mostClaims) {}
+  public record Resume(ResumeSettings settings, Path keys, ClaimsIn claims, Path folder, List<InetSocketAddress> stores,
+      StoreTls tls, int mostClaims) {}
 
   /** Reads and checks the file; throws {@link FileFaults} with all that is wrong with it. */
   public static Operator read(Path file) {
     JsonNode root = new SchemaCheck("operator.schema.json").read(file);
     List<Fault> faults = new ArrayList<>();
     Operator operator = new Operator(root.path("log").path("format").asText("plain").equals("json"),
+        root.path("limits").path("rings_mb").asInt(0),
         root.has("resume") ? new Section(file, root.get("resume"), faults).resume() : null);
     if (!faults.isEmpty()) {
       throw new FileFaults(faults);
@@ -60,10 +64,35 @@
       ClaimsIn in = ClaimsIn.valueOf(claims.path("in").asText("memory").toUpperCase(java.util.Locale.ROOT));
       needed(claims, "folder", in == ClaimsIn.DISK);
       needed(claims, "store", in == ClaimsIn.FLEET);
+      if (claims.has("tls") && in != ClaimsIn.FLEET) {
+        fault("resume.claims.tls: has no meaning with in: " + claims.path("in").asText("memory"));
+      }
       return new Resume(settings(), path(node.path("keys").asText()), in,
-          claims.has("folder") ? path(claims.get("folder").asText()) : null,
-          claims.has("store") ? address(claims.get("store").asText()) : null,
-          claims.path("most").asInt(MOST_CLAIMS));
+          claims.has("folder") ? path(claims.get("folder").asText()) : null, stores(claims.path("store")),
+          claims.has("tls") ? tls(claims.get("tls")) : null, claims.path("most").asInt(MOST_CLAIMS));
+    }
+
+    /** One address or a list of them. */
+    private List<InetSocketAddress> stores(JsonNode store) {
+      List<InetSocketAddress> stores = new ArrayList<>();
+      for (JsonNode one : store.isArray() ? store : List.of(store)) {
+        if (!one.isMissingNode()) {
+          InetSocketAddress address = address(one.asText());
+          if (address != null) {
+            stores.add(address);
+          }
+        }
+      }
+      return stores;
+    }
+
+    private StoreTls tls(JsonNode tls) {
+      if (tls.has("certificate") != tls.has("key")) {
+        fault("resume.claims.tls: certificate and key come together; found only " + (tls.has("key") ? "key" : "certificate"));
+      }
+      return new StoreTls(path(tls.get("authority").asText()),
+          tls.has("certificate") ? path(tls.get("certificate").asText()) : null,
+          tls.has("key") ? path(tls.get("key").asText()) : null, tls.has("name") ? tls.get("name").asText() : null);
     }
 
     private ResumeSettings settings() {
--- a/proxy/src/test/java/lemondeal/claims/ClaimsModelTest.java
+++ b/proxy/src/test/java/lemondeal/claims/ClaimsModelTest.java
@@ -190,6 +190,40 @@
     assertInstanceOf(ClaimAnswer.Held.class, now(claims, claim(33, "d")), "b holds now, and 33 is below its fence");
   }
 
+  /** A settle whose call is lost, as with an address of the store that fails, is sent again. */
+  @Example
+  void aSettleThatIsNotAnsweredIsSentAgain() {
+    MemoryStore inner = new MemoryStore(10, () -> now);
+    int[] lost = {2};
+    CasStore failing = new CasStore() {
+      @Override
+      public void read(String session, Consumer<Written> told) {
+        if (lost[0]-- > 0) {
+          told.accept(new Written(false, null, "the store: UNAVAILABLE"));
+        } else {
+          inner.read(session, told);
+        }
+      }
+
+      @Override
+      public void compareAndSet(String session, long version, ClaimState state, Consumer<Written> told) {
+        inner.compareAndSet(session, version, state, told);
+      }
+
+      @Override
+      public void close() {
+        inner.close();
+      }
+    };
+    Claims claims = new CasClaims(failing, () -> now);
+    lost[0] = 0;
+    Claim first = claim(16, "a");
+    now(claims, first);
+    lost[0] = 2;
+    claims.settle(first, 32);
+    assertEquals(new ClaimAnswer.Used(), now(claims, claim(16, "b")), "settled on the third word");
+  }
+
   @Example
   void memoryIsBoundedAndForgets() {
     MemoryStore store = new MemoryStore(3, () -> now);
--- a/proxy/src/test/java/lemondeal/config/ConfigTest.java
+++ b/proxy/src/test/java/lemondeal/config/ConfigTest.java
@@ -80,10 +80,27 @@
   @Test
   void twoProcessesTogetherFitOneMachine() {
     for (int sockets : new int[] {592, 716, 1024}) {
-      Limits limits = Limits.of(sockets, 208, 150_000, 5_000_000, 2_000_000, true);
+      Limits limits = Limits.of(sockets, 208, 150_000, 5_000_000, 2_000_000, true, Limits.RINGS_MB);
       assertTrue(limits.clients() >= sockets / 3, "either may have them all: " + limits.clients());
       int idle = 2 * (limits.newcomers(limits.clients() - sockets / 6) + limits.lingering());
       assertTrue(2 * sockets / 3 + idle + 2 * 48 <= sockets, idle + " without a request, of " + sockets);
     }
   }
+
+  /**
+   * Each client holds a ring a direction: rings bound clients where descriptors don't, by the operator's bound or by an
+   * eighth of the memory, whichever is less.
+   */
+  @Test
+  void ringsBoundClientsByTheOperatorsMegabytesAndByAnEighthOfTheMemory() {
+    for (int ringsMb : new int[] {Limits.RINGS_MB, 20, 64}) {
+      for (int memoryMb : new int[] {96, 192, 1024}) {
+        Limits limits = Limits.of(100_000, memoryMb, 150_000, 5_000_000, 2_000_000, false, ringsMb);
+        long held = 2L * limits.clients() * limits.ringBytes();
+        long allowed = (long) Math.min(ringsMb, memoryMb / 8) << 20;
+        assertTrue(held <= allowed && held > allowed - 2 * limits.ringBytes(), ringsMb + " MB of rings, " + memoryMb
+            + " MB in all: " + limits.clients() + " clients");
+      }
+    }
+  }
 }
--- a/proxy/src/test/java/lemondeal/operator/OperatorTest.java
+++ b/proxy/src/test/java/lemondeal/operator/OperatorTest.java
@@ -67,7 +67,7 @@
   void allFaultsAreToldAtOnceEachWithItsPlace() throws IOException {
     assertEquals(List.of(
         "1:10 version: found 2; allowed: the whole number 1",
-        "2:1 the file: unknown key 'logg'; allowed: log, resume, version",
+        "2:1 the file: unknown key 'logg'; allowed: limits, log, resume, version",
         "4:3 resume: the key 'keys' is missing; allowed: the path of a key file",
         "4:12 resume.classes: found []; allowed: a list of at least one class, each named once",
         "5:9 resume.life: found \"5 seconds\"; allowed: a time such as 250ms, 30s or 5m, 1ms to 24h",
@@ -87,6 +87,31 @@
     assertEquals(List.of("0:0 resume.life: found 99h; allowed: 1ms to 24h"), faults(start + "  life: 99h\n"));
   }
 
+  @Test
+  void aFleetsStoreHasOneAddressOrSeveralAndMaySpeakTls() throws IOException {
+    String start = "version: 1\nlimits: {rings_mb: 20}\nresume:\n  classes: [a]\n  keys: k\n";
+    Operator one = Operator.read(file(start + "  claims: {in: fleet, store: '10.0.0.1:7000'}\n"));
+    assertEquals(List.of(new java.net.InetSocketAddress("10.0.0.1", 7000)), one.resume().stores());
+    assertEquals(null, one.resume().tls());
+    assertEquals(20, one.ringsMb());
+    Operator several = Operator.read(file(start + """
+          claims:
+            in: fleet
+            store: ['10.0.0.1:7000', '10.0.0.2:7000']
+            tls: {authority: ca.pem, certificate: proxy.pem, key: proxy.key, name: claims.example}
+        """));
+    assertEquals(2, several.resume().stores().size());
+    assertEquals(new lemondeal.claims.StoreTls(folder.resolve("ca.pem"), folder.resolve("proxy.pem"),
+        folder.resolve("proxy.key"), "claims.example"), several.resume().tls());
+    assertEquals(List.of("0:0 resume.claims.tls: certificate and key come together; found only certificate"),
+        faults(start + "  claims: {in: fleet, store: '1.2.3.4:5', tls: {authority: a, certificate: c}}\n"));
+    assertEquals(List.of("0:0 resume.claims.tls: has no meaning with in: memory"),
+        faults(start + "  claims: {in: memory, tls: {authority: a}}\n"));
+    assertTrue(faults(start + "  claims: {in: fleet, store: []}\n").get(0).contains("resume.claims.store"));
+    assertTrue(faults(start + "  claims: {in: fleet, store: ['1.2.3.4:5', there]}\n").get(0)
+        .contains("no numeric address:port"));
+  }
+
   @Test
   void whatIsNoYamlIsAFaultOfItsPlace() throws IOException {
     assertEquals(List.of("2:1 the key 'version' stands here twice"), faults("version: 1\nversion: 1\n"));
