Put the platform's discovery behind ListSource, the one interface of sources of servers

Proxy made Discovery itself and called its moveTo on SIGHUP, so a second source would have had to know of Proxy, or Proxy of it.

ListSource (watch, fetch, reconfigure) and a Maker that Proxy is handed; ListSource.PLATFORM makes Discovery as before, and Discovery.reconfigure moves to the address that the configuration names.

--- a/proxy/src/main/java/lemondeal/discovery/Discovery.java
+++ b/proxy/src/main/java/lemondeal/discovery/Discovery.java
@@ -8,12 +8,13 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import lemondeal.codec.ProtocolException;
+import lemondeal.config.Config;
 import lemondeal.config.Limits;
 import lemondeal.net.Net;
 import lemondeal.net.Timers;
 
-/** Asks discovery on the module's word. When to ask again after a failure is the module's to say. */
-public final class Discovery {
+/** Asks the platform's discovery on the module's word. When to ask again after a failure is the module's to say. */
+public final class Discovery implements ListSource {
   private static final String LIST = "/api/targets";
 
   private final Net net;
@@ -36,6 +37,12 @@
     this.told = told;
   }
 
+  /** Asks discovery where the configuration now says it is. */
+  @Override
+  public void reconfigure(Config fresh) {
+    moveTo(fresh.discovery());
+  }
+
   /**
    * From now on discovery is asked at this address: for a watch at once if the module wants one, and again for
    * each list that is still out. Guards against the old address being told as a failure: the module would then
@@ -59,7 +66,7 @@
     }
   }
 
-  /** Begins a new watch in place of any other, or ends it. */
+  @Override
   public void watch(boolean on) {
     wanted = on;
     if (watch != null) {
@@ -71,7 +78,7 @@
     }
   }
 
-  /** Asks once for the whole list. */
+  @Override
   public void fetch() {
     fetches.removeIf(Call::isOver);
     fetches.add(call(false));
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/discovery/ListSource.java
@@ -0,0 +1,37 @@
+package lemondeal.discovery;
+
+import java.util.function.Consumer;
+import lemondeal.Balancer.ServerList;
+import lemondeal.config.Config;
+import lemondeal.config.Limits;
+import lemondeal.net.Net;
+import lemondeal.net.Timers;
+
+/**
+ * Where the list of servers comes from: the platform's discovery, or a catalogue of another installation. On the I/O
+ * thread. A source tells the module {@link ServerList} events and nothing else, and keeps the addresses in the
+ * {@link HostGroup}; when to ask is the module's to say, how to ask is the source's.
+ */
+public interface ListSource {
+
+  /** Makes the source of a proxy. */
+  interface Maker {
+    /**
+     * @param told is told each list, on the I/O thread
+     */
+    ListSource make(Net net, Timers timers, Limits limits, Config config, HostGroup group, Consumer<ServerList> told);
+  }
+
+  /** The platform's discovery at the address that the configuration names. */
+  Maker PLATFORM = (net, timers, limits, config, group, told) ->
+      new Discovery(net, timers, limits, config.discovery(), group, told);
+
+  /** Begins a watch in place of any other, or ends it. */
+  void watch(boolean on);
+
+  /** Asks once for the whole list. */
+  void fetch();
+
+  /** Takes over a configuration read anew on SIGHUP and checked. */
+  void reconfigure(Config fresh);
+}
--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -29,8 +29,8 @@
 import lemondeal.admin.Admin;
 import lemondeal.config.Config;
 import lemondeal.config.Limits;
-import lemondeal.discovery.Discovery;
 import lemondeal.discovery.HostGroup;
+import lemondeal.discovery.ListSource;
 import lemondeal.figures.Figures;
 import lemondeal.log.EventLog;
 import lemondeal.log.PlainLog;
@@ -52,7 +52,7 @@
   private final TimerWheel wheel;
   private final HostGroup group;
   private final Decisions decisions;
-  private final Discovery discovery;
+  private final ListSource discovery;
   private final Context context;
   private final Requests requests;
   private final Gate gate;
@@ -75,6 +75,12 @@
 
   /** {@code resumption} is null where no client can resume. */
   public Proxy(Config config, Balancer module, EventLog log, Resumption resumption) throws IOException {
+    this(config, module, log, resumption, ListSource.PLATFORM);
+  }
+
+  /** The same, with servers listed by {@code sources}. */
+  public Proxy(Config config, Balancer module, EventLog log, Resumption resumption, ListSource.Maker sources)
+      throws IOException {
     this.resumption = resumption;
     this.config = config;
     this.module = module;
@@ -87,7 +93,7 @@
     net.use(wheel);
     group = new HostGroup(config.names());
     decisions = new Decisions(module, clock::now, this::act);
-    discovery = new Discovery(net, wheel, limits, config.discovery(), group, this::listed);
+    discovery = sources.make(net, wheel, limits, config, group, this::listed);
     DelayMeter delays = new DelayMeter(config.settings(), limits, decisions::tell);
     figures = new Figures(config.names().classes());
     context = new Context(config, net, wheel, group, decisions, delays, figures, new FinalAnswer(figures),
@@ -157,7 +163,7 @@
 
   /** Takes over a configuration read anew and checked; may be called on any thread, also during a stop. */
   public void reconfigure(Config fresh) {
-    net.later(() -> discovery.moveTo(fresh.discovery()));
+    net.later(() -> discovery.reconfigure(fresh));
   }
 
   /** Stops politely; returns when all is done or the time is up. */
