--- /dev/null
+++ b/proxy/src/main/java/lemondeal/membership/Damping.java
@@ -0,0 +1,70 @@
+package lemondeal.membership;
+
+/**
+ * Flap damping of one instance. Pure: the state before, what is seen and the time go in, the state after comes out.
+ *
+ * <p>Towards draining at once: new work to an instance that a check calls failing must end within a second. Back only
+ * after a quiet time, counted from when it was last seen failing, that doubles with each flap and is bounded; flaps are
+ * forgotten after a long calm. An instance that fails and recovers many times a second gets no work while it does so,
+ * and work again once it has been quiet.
+ */
+public final class Damping {
+
+  /**
+   * How damping is set.
+   *
+   * @param quiet milliseconds of quiet after the first flap before an instance serves again
+   * @param most milliseconds of quiet needed at most, however often it flapped
+   * @param forget milliseconds of serving after which its flaps are forgotten
+   */
+  public record Settings(long quiet, long most, long forget) {
+    /** What holds where the operator's file says nothing. */
+    public static final Settings DEFAULT = new Settings(2_000, 60_000, 300_000);
+  }
+
+  /**
+   * What is believed of one instance.
+   *
+   * @param serves whether new work goes there
+   * @param flaps times it went from serving to failing, since its flaps were last forgotten
+   * @param failedAt when it was last seen failing, Unix milliseconds; 0 for never
+   * @param servesSince since when it serves, Unix milliseconds
+   */
+  public record State(boolean serves, int flaps, long failedAt, long servesSince) {
+    /** An instance seen for the first time, serving or not. */
+    public static State first(Health seen, long now) {
+      return seen.serves() ? new State(true, 0, 0, now) : new State(false, 0, now, 0);
+    }
+  }
+
+  private Damping() {}
+
+  /** What is believed after {@code seen} at {@code now}. */
+  public static State next(State before, Health seen, long now, Settings settings) {
+    if (!seen.serves()) {
+      return new State(false, before.serves() ? before.flaps() + 1 : before.flaps(), now, 0);
+    }
+    if (before.serves()) {
+      boolean calm = now - before.servesSince() >= settings.forget();
+      return calm && before.flaps() > 0 ? new State(true, 0, before.failedAt(), now) : before;
+    }
+    return now >= servesAgainAt(before, settings) ? new State(true, before.flaps(), before.failedAt(), now) : before;
+  }
+
+  /**
+   * When an instance that does not serve now may serve again if it stays well: a time at which {@link #next} is to be
+   * asked once more, since a catalogue that has nothing new to say says nothing.
+   */
+  public static long servesAgainAt(State state, Settings settings) {
+    return state.failedAt() + quiet(state.flaps(), settings);
+  }
+
+  /** The quiet time after so many flaps: the first is not counted against a restart. */
+  static long quiet(int flaps, Settings settings) {
+    if (flaps <= 1) {
+      return settings.quiet();
+    }
+    int doublings = Math.min(flaps - 1, 30);
+    return Math.min(settings.most(), settings.quiet() << doublings);
+  }
+}
