Move the TLS files' record from claims to config, where Consul can take it too

Consul's client, next, is spoken to with the same authority, certificate, key and name as the claims' store; a record in claims would make consul depend on claims.

--- a/lab/src/test/java/lemondeal/lab/claims/FleetStoreTest.java
+++ b/lab/src/test/java/lemondeal/lab/claims/FleetStoreTest.java
@@ -22,7 +22,7 @@
 import lemondeal.claims.Claim;
 import lemondeal.claims.ClaimAnswer;
 import lemondeal.claims.FleetStore;
-import lemondeal.claims.StoreTls;
+import lemondeal.config.TlsFiles;
 import lemondeal.log.PlainLog;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -41,7 +41,7 @@
   private final ByteArrayOutputStream told = new ByteArrayOutputStream();
   private int sessions;
 
-  private FleetStore open(List<InetSocketAddress> addresses, StoreTls tls) throws IOException {
+  private FleetStore open(List<InetSocketAddress> addresses, TlsFiles tls) throws IOException {
     return FleetStore.open(addresses, tls, PATIENCE, new PlainLog(new PrintStream(told, true)));
   }
 
@@ -95,12 +95,12 @@
     TestAuthority.Issued proxy = authority.issue(folder, "proxy", "proxy-1");
     try (ClaimStoreServer tls = new ClaimStoreServer(new ClaimStoreServer.Tls(server.certificate(), server.key(),
         trusted))) {
-      FleetStore store = open(List.of(tls.address()), new StoreTls(trusted, proxy.certificate(), proxy.key(), null));
+      FleetStore store = open(List.of(tls.address()), new TlsFiles(trusted, proxy.certificate(), proxy.key(), null));
       assertInstanceOf(ClaimAnswer.Granted.class, claim(store, session(), 16));
       assertEquals("", told.toString(), "the first calls were answered");
       store.close();
 
-      FleetStore without = open(List.of(tls.address()), new StoreTls(trusted, null, null, null));
+      FleetStore without = open(List.of(tls.address()), new TlsFiles(trusted, null, null, null));
       assertInstanceOf(ClaimAnswer.Unknown.class, claim(without, session(), 16), "a store that asks for a certificate");
       assertTrue(told.toString().contains("claims-away") || told.toString().contains("does not answer"), told.toString());
       without.close();
@@ -118,13 +118,13 @@
         null));
         ClaimStoreServer byName = new ClaimStoreServer(new ClaimStoreServer.Tls(named.certificate(), named.key(),
             null))) {
-      FleetStore store = open(List.of(other.address()), new StoreTls(trusted, null, null, null));
+      FleetStore store = open(List.of(other.address()), new TlsFiles(trusted, null, null, null));
       assertInstanceOf(ClaimAnswer.Unknown.class, claim(store, session(), 16));
       store.close();
-      FleetStore byAddress = open(List.of(byName.address()), new StoreTls(trusted, null, null, null));
+      FleetStore byAddress = open(List.of(byName.address()), new TlsFiles(trusted, null, null, null));
       assertInstanceOf(ClaimAnswer.Unknown.class, claim(byAddress, session(), 16), "the address is not the name");
       byAddress.close();
-      FleetStore named2 = open(List.of(byName.address()), new StoreTls(trusted, null, null, "claims.store.test"));
+      FleetStore named2 = open(List.of(byName.address()), new TlsFiles(trusted, null, null, "claims.store.test"));
       assertInstanceOf(ClaimAnswer.Granted.class, claim(named2, session(), 16));
       named2.close();
     }
@@ -140,7 +140,7 @@
     TestAuthority.Issued proxy = stranger.issue(folder, "proxy", "proxy-1");
     try (ClaimStoreServer tls = new ClaimStoreServer(new ClaimStoreServer.Tls(server.certificate(), server.key(),
         trusted))) {
-      StoreTls files = new StoreTls(trusted, proxy.certificate(), proxy.key(), null);
+      TlsFiles files = new TlsFiles(trusted, proxy.certificate(), proxy.key(), null);
       FleetStore store = open(List.of(tls.address()), files);
       assertInstanceOf(ClaimAnswer.Unknown.class, claim(store, session(), 16), "a certificate of a stranger");
       TestAuthority.Issued fresh = authority.issue(renewed, "proxy", "proxy-1");
--- a/proxy/src/main/java/lemondeal/Extras.java
+++ b/proxy/src/main/java/lemondeal/Extras.java
@@ -8,12 +8,12 @@
 import lemondeal.claims.DiskStore;
 import lemondeal.claims.FleetStore;
 import lemondeal.claims.MemoryStore;
-import lemondeal.claims.StoreTls;
 import lemondeal.config.Config;
 import lemondeal.config.ConfigException;
 import lemondeal.config.Limits;
-import lemondeal.log.JsonLog;
+import lemondeal.config.TlsFiles;
 import lemondeal.log.EventLog;
+import lemondeal.log.JsonLog;
 import lemondeal.log.PlainLog;
 import lemondeal.operator.FileFaults;
 import lemondeal.operator.KeyFile;
@@ -100,7 +100,7 @@
       return;
     }
     resumption.use(KeyFile.read(operator.resume().keys()));
-    StoreTls tls = operator.resume().tls();
+    TlsFiles tls = operator.resume().tls();
     if (fleet != null && tls != null) {
       try {
         fleet.reload(tls);
--- a/proxy/src/main/java/lemondeal/claims/FleetStore.java
+++ b/proxy/src/main/java/lemondeal/claims/FleetStore.java
@@ -24,6 +24,7 @@
 import lemondeal.claims.wire.Entry;
 import lemondeal.claims.wire.ReadRequest;
 import lemondeal.config.Addresses;
+import lemondeal.config.TlsFiles;
 import lemondeal.log.EventLog;
 
 /**
@@ -58,7 +59,7 @@
    * @param patience milliseconds that a call may take
    * @throws IOException where a file of {@code tls} can't be read or used
    */
-  public static FleetStore open(List<InetSocketAddress> addresses, StoreTls tls, long patience, EventLog log)
+  public static FleetStore open(List<InetSocketAddress> addresses, TlsFiles tls, long patience, EventLog log)
       throws IOException {
     FleetStore store = new FleetStore(addresses, patience, log);
     store.use(store.channel(tls));
@@ -72,13 +73,13 @@
    *
    * @throws IOException where a file can't be read or used: the channel before stays
    */
-  public void reload(StoreTls tls) throws IOException {
+  public void reload(TlsFiles tls) throws IOException {
     ManagedChannel before = channel;
     use(channel(tls));
     before.shutdown();
   }
 
-  private ManagedChannel channel(StoreTls tls) throws IOException {
+  private ManagedChannel channel(TlsFiles tls) throws IOException {
     String first = Addresses.text(addresses.get(0));
     String authority = tls != null && tls.name() != null ? tls.name() : first;
     @SuppressWarnings("deprecation") // The one way to give a channel addresses without a look-up that is not global.
@@ -93,7 +94,7 @@
     return builder.build();
   }
 
-  private static SslContext sslContext(StoreTls tls) throws IOException {
+  private static SslContext sslContext(TlsFiles tls) throws IOException {
     try {
       SslContextBuilder builder = GrpcSslContexts.forClient().trustManager(tls.authority().toFile());
       if (tls.certificate() != null) {
--- a/proxy/src/main/java/lemondeal/operator/Operator.java
+++ b/proxy/src/main/java/lemondeal/operator/Operator.java
@@ -7,8 +7,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import lemondeal.claims.StoreTls;
 import lemondeal.config.Addresses;
+import lemondeal.config.TlsFiles;
 import lemondeal.resume.ResumeSettings;
 
 /**
@@ -41,7 +41,7 @@
    * @param mostClaims sessions held in memory or on disk
    */
   public record Resume(ResumeSettings settings, Path keys, ClaimsIn claims, Path folder, List<InetSocketAddress> stores,
-      StoreTls tls, int mostClaims) {}
+      TlsFiles tls, int mostClaims) {}
 
   /** Reads and checks the file; throws {@link FileFaults} with all that is wrong with it. */
   public static Operator read(Path file) {
@@ -86,11 +86,11 @@
       return stores;
     }
 
-    private StoreTls tls(JsonNode tls) {
+    private TlsFiles tls(JsonNode tls) {
       if (tls.has("certificate") != tls.has("key")) {
         fault("resume.claims.tls: certificate and key come together; found only " + (tls.has("key") ? "key" : "certificate"));
       }
-      return new StoreTls(path(tls.get("authority").asText()),
+      return new TlsFiles(path(tls.get("authority").asText()),
           tls.has("certificate") ? path(tls.get("certificate").asText()) : null,
           tls.has("key") ? path(tls.get("key").asText()) : null, tls.has("name") ? tls.get("name").asText() : null);
     }
--- a/proxy/src/test/java/lemondeal/operator/OperatorTest.java
+++ b/proxy/src/test/java/lemondeal/operator/OperatorTest.java
@@ -101,7 +101,7 @@
             tls: {authority: ca.pem, certificate: proxy.pem, key: proxy.key, name: claims.example}
         """));
     assertEquals(2, several.resume().stores().size());
-    assertEquals(new lemondeal.claims.StoreTls(folder.resolve("ca.pem"), folder.resolve("proxy.pem"),
+    assertEquals(new lemondeal.config.TlsFiles(folder.resolve("ca.pem"), folder.resolve("proxy.pem"),
         folder.resolve("proxy.key"), "claims.example"), several.resume().tls());
     assertEquals(List.of("0:0 resume.claims.tls: certificate and key come together; found only certificate"),
         faults(start + "  claims: {in: fleet, store: '1.2.3.4:5', tls: {authority: a, certificate: c}}\n"));
