List servers from Consul's health endpoint, with blocking queries, in the operator's file

- lemondeal.consul: ConsulClient asks /v1/health/service/NAME on the JDK's HTTP client (TLS from the operator's PEM files, a name check of our own since agents are dialled by address, X-Consul-Token from a file, a bounded body) and reads and maps the answer on its own thread; HealthAnswer reads the body with jackson-core's streaming parser under bounds of depth, strings and count; Mapping makes node/service ids, zone, model and cell from metadata or tags, and the address from service, node or a tagged one.
- ConsulSource, on the I/O thread: blocking queries while the module wants a watch, agents in turn, every answer through ListGuard and every instance through Damping, whole lists to the module; a critical check, serfHealth critical, maintenance and a weight of 0 are drains, a deregistered instance is gone, a new CreateIndex a restart.
SIGHUP takes the section, token and certificates anew.
- The operator's file: discovery.consul (agents, service, dc, ns, partition, consistency, near, filter, wait, token_file, tls, address, zone, model, cell, damping, guard, pace, bounds).
- lab: ConsulStandIn (the health endpoint with blocking queries and its headers, moods for faults), LinkServer, ShortClients that check one final answer in time, ConsulSite.

Measured: ConsulSiteTest, 3 real proxies, 8 link servers, 24 clients: after a critical check, serfHealth critical, maintenance and a deregistration, the last new send to that server came within 1 s (none in the 2.5 s after), no request without its one final answer; 14 s. With every instance told ready whatever its checks, it fails (s-2: new work 2499 ms after the change).

--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/consul/ConsulSite.java
@@ -0,0 +1,149 @@
+package lemondeal.lab.consul;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import lemondeal.lab.ServeProcess;
+
+/**
+ * Real proxies that list their servers from a stand-in Consul, stand-in link servers registered there, all on
+ * loopback. Ended with its owner.
+ */
+public final class ConsulSite implements AutoCloseable {
+  /** The service that the link servers are registered under. */
+  public static final String SERVICE = "link";
+
+  private final Path folder;
+  private final ConsulStandIn consul;
+  private final Map<String, LinkServer> servers = new LinkedHashMap<>();
+  private final Map<String, String> keys = new LinkedHashMap<>();
+  private final List<ServeProcess> proxies = new ArrayList<>();
+  private final AtomicInteger turn = new AtomicInteger();
+  private final String more;
+  private final int unused;
+
+  /**
+   * Starts so many servers, registered in Consul on nodes of their own, and so many proxies.
+   *
+   * @param more lines of the operator's section {@code discovery.consul} beside agents and service
+   */
+  public ConsulSite(int proxyCount, int serverCount, String more) throws IOException, InterruptedException {
+    folder = Files.createTempDirectory("lemondeal-consul");
+    consul = new ConsulStandIn();
+    this.more = more;
+    try (ServerSocket nobody = new ServerSocket(0)) {
+      unused = nobody.getLocalPort();
+    }
+    for (int i = 1; i <= serverCount; i++) {
+      addServer("s-" + i);
+    }
+    writeOperatorFile(List.of(consul.address()));
+    for (int i = 0; i < proxyCount; i++) {
+      startProxy(i, proxyCount);
+    }
+  }
+
+  /** The operator's file from the next start or SIGHUP on, with Consul at these agents. */
+  public void writeOperatorFile(List<InetSocketAddress> agents) throws IOException {
+    List<String> quoted = agents.stream().map(agent -> "'127.0.0.1:" + agent.getPort() + "'").toList();
+    Files.writeString(folder.resolve("operator.yaml"), """
+        version: 1
+        discovery:
+          consul:
+            agents: [%s]
+            service: %s
+        %s
+        """.formatted(String.join(", ", quoted), SERVICE, more.indent(4)));
+  }
+
+  /** Starts a link server and registers it on a node of its own, named as the server. */
+  public LinkServer addServer(String name) throws IOException {
+    LinkServer server = new LinkServer();
+    servers.put(name, server);
+    keys.put(name, consul.register("node-" + name, "127.0.0.1", SERVICE, name, server.address().getPort()));
+    return server;
+  }
+
+  /** Starts proxy number {@code i} of so many, or starts it again. */
+  public void startProxy(int i, int count) throws IOException, InterruptedException {
+    Path config = folder.resolve("proxy-" + i + ".json");
+    Files.writeString(config, """
+        {"name":"n%d","listen":"127.0.0.1:0","admin_addr":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"%x",
+         "limits":{"sockets":4096,"memory_mb":192},
+         "known":{"generation":0,"reset":true,"instances":[]},
+         "settings":{"slotNo":%d,"balancers":%d,"azs":["a","b"],"flavors":["m"],"membershipMode":"subscribe",
+           "familyInfo":{"mode":"proxy","groups":false,"messageAim":[1000000,1000000]},
+           "permissions":{"dialTimeout":500000,"keepalive":5000000,"cancelling":true,"retryAfter":true,
+             "maxRetryAfter":2000000,"tryLimit":3,"cpuUsPerS":1000000},
+           "rules":{"answerSlack":20000,"drainGrace":1000000,"fallMultiple":4.0,"overloadFor":2000000,
+             "coldFrom":0.35,"warmWithin":9000000},
+           "prices":{"crossZone":0.03,"waste":0.2,"probe":0.0023,"moves":0.01},
+           "profiles":[{"name":"chat","semantics":"idempotent","aim":500000,"hardLimit":2000000}]}}
+        """.formatted(i, unused, i + 1, i, count));
+    ServeProcess started = ServeProcess.start(config, folder.resolve("operator.yaml"));
+    if (i < proxies.size()) {
+      proxies.set(i, started);
+    } else {
+      proxies.add(started);
+    }
+    started.await("ready");
+  }
+
+  /** The next proxy that is alive, in turn, as a front shares clients out. */
+  public InetSocketAddress front() {
+    for (int i = 0; i < proxies.size(); i++) {
+      ServeProcess proxy = proxies.get(Math.floorMod(turn.getAndIncrement(), proxies.size()));
+      if (proxy.isAlive()) {
+        return proxy.address();
+      }
+    }
+    throw new IllegalStateException("no proxy is alive");
+  }
+
+  public ConsulStandIn consul() {
+    return consul;
+  }
+
+  public LinkServer server(String name) {
+    return servers.get(name);
+  }
+
+  /** The server's key in Consul. */
+  public String key(String name) {
+    return keys.get(name);
+  }
+
+  public Map<String, LinkServer> servers() {
+    return servers;
+  }
+
+  public List<ServeProcess> proxies() {
+    return proxies;
+  }
+
+  public Path folder() {
+    return folder;
+  }
+
+  @Override
+  public void close() {
+    proxies.forEach(ServeProcess::close);
+    servers.values().forEach(LinkServer::close);
+    consul.close();
+    try (Stream<Path> files = Files.walk(folder)) {
+      files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/consul/ShortClients.java
@@ -0,0 +1,125 @@
+package lemondeal.lab.consul;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import lemondeal.lab.Lines;
+
+/**
+ * Clients of short connections, each on a thread of its own: open, hold a moment, end, and again, through the front.
+ * Each request is checked for the rule of the protocol: one final answer before its time is up, and only one.
+ */
+public final class ShortClients implements AutoCloseable {
+  private static final int DEADLINE_MILLIS = 2000;
+  /** The protocol's slack on a final answer. */
+  private static final int SLACK_MILLIS = 500;
+  private static final AtomicLong IDS = new AtomicLong();
+
+  private final Supplier<InetSocketAddress> front;
+  private final List<Thread> threads = new ArrayList<>();
+  private final Map<String, AtomicLong> counts = new ConcurrentHashMap<>();
+  private final List<String> breaches = java.util.Collections.synchronizedList(new ArrayList<>());
+  private volatile boolean running = true;
+
+  /** Starts so many clients at once. */
+  public ShortClients(Supplier<InetSocketAddress> front, int count) {
+    this.front = front;
+    for (int i = 0; i < count; i++) {
+      Thread thread = new Thread(null, this::run, "client-" + i, 256 * 1024);
+      thread.setDaemon(true);
+      thread.start();
+      threads.add(thread);
+    }
+  }
+
+  private void run() {
+    while (running) {
+      try {
+        once();
+      } catch (IOException e) {
+        count("broken");
+        pause(50);
+      }
+    }
+  }
+
+  private void once() throws IOException {
+    String id = String.format("%016x", IDS.incrementAndGet());
+    String key = String.format("%016x", ThreadLocalRandom.current().nextLong());
+    long started = System.nanoTime();
+    try (Lines lines = Lines.to(front.get())) {
+      lines.patience(DEADLINE_MILLIS + SLACK_MILLIS);
+      lines.write("OPEN " + id + " " + key + " c=chat,d=" + DEADLINE_MILLIS + ",g=" + key);
+      String answer;
+      try {
+        answer = lines.read();
+      } catch (SocketTimeoutException e) {
+        breaches.add(id + ": no final answer in " + (DEADLINE_MILLIS + SLACK_MILLIS) + " ms");
+        return;
+      }
+      long took = (System.nanoTime() - started) / 1_000_000;
+      if (answer == null) {
+        breaches.add(id + ": the connection ended without an answer after " + took + " ms");
+        return;
+      }
+      String word = answer.split(" ")[0];
+      count(word);
+      if (word.equals("UP")) {
+        lines.patience(50);
+        lines.write("hello");
+        try {
+          String echo = lines.read();
+          if (echo != null && !echo.startsWith("ECHO") && !echo.equals("MOVE")) {
+            breaches.add(id + ": after UP came '" + echo + "'");
+          }
+        } catch (SocketTimeoutException e) {
+          // Held a moment.
+        }
+      } else if (word.equals("BUSY")) {
+        String[] words = answer.split(" ");
+        pause(words.length > 1 ? Math.min(1000, Long.parseLong(words[1])) : 100);
+      }
+    }
+  }
+
+  private void count(String what) {
+    counts.computeIfAbsent(what, k -> new AtomicLong()).incrementAndGet();
+  }
+
+  private static void pause(long millis) {
+    try {
+      Thread.sleep(millis);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** How many answers of each first word, and broken connections. */
+  public Map<String, Long> counts() {
+    Map<String, Long> copy = new java.util.TreeMap<>();
+    counts.forEach((word, count) -> copy.put(word, count.get()));
+    return copy;
+  }
+
+  /** Requests that broke the rule of one final answer in time. */
+  public List<String> breaches() {
+    synchronized (breaches) {
+      return List.copyOf(breaches);
+    }
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    running = false;
+    for (Thread thread : threads) {
+      thread.join(10_000);
+    }
+  }
+}
--- a/proxy/src/main/java/lemondeal/Extras.java
+++ b/proxy/src/main/java/lemondeal/Extras.java
@@ -12,6 +12,8 @@
 import lemondeal.config.ConfigException;
 import lemondeal.config.Limits;
 import lemondeal.config.TlsFiles;
+import lemondeal.consul.ConsulSource;
+import lemondeal.discovery.ListSource;
 import lemondeal.log.EventLog;
 import lemondeal.log.JsonLog;
 import lemondeal.log.PlainLog;
@@ -28,6 +30,8 @@
   private Resumption resumption;
   /** Null unless claims are made in a fleet's store. */
   private FleetStore fleet;
+  /** Null unless servers are listed by Consul, and until the proxy has made it. */
+  private ConsulSource consul;
 
   private Extras(Path file, Operator operator) {
     this.file = file;
@@ -91,11 +95,26 @@
     return resumption;
   }
 
+  /** Where the proxy's servers are listed: Consul where the file names it, else the platform's discovery. */
+  ListSource.Maker sources() {
+    return operator.consul() == null ? ListSource.PLATFORM
+        : ConsulSource.maker(operator.consul(), log, made -> consul = made);
+  }
+
   /**
    * Takes the keys over as they are now, and the certificates towards the fleet's store; throws what is wrong with them,
    * and what was used before stays.
    */
   void reload() {
+    Operator fresh = Operator.read(file);
+    if (consul != null && fresh.consul() != null) {
+      try {
+        consul.reload(fresh.consul());
+        log.info("consul-reload", "lemondeal: Consul's section, its token and certificates read anew");
+      } catch (IOException e) {
+        throw new ConfigException(file + ": discovery.consul: " + e.getMessage() + "; what was used before stays");
+      }
+    }
     if (resumption == null) {
       return;
     }
@@ -109,11 +128,19 @@
       }
     }
     log.info("keys-reload", "lemondeal: keys" + (tls == null ? "" : " and certificates") + " read anew"
-        + (operator.equals(Operator.read(file)) ? "" : "; other changes of " + file + " count from the next start"));
+        + (sameBut(fresh) ? "" : "; other changes of " + file + " count from the next start"));
+  }
+
+  /** Whether all that is taken at the start alone stayed as it was. */
+  private boolean sameBut(Operator fresh) {
+    return new Operator(fresh.jsonLog(), fresh.ringsMb(), operator.consul(), fresh.resume()).equals(operator);
   }
 
   @Override
   public void close() {
+    if (consul != null) {
+      consul.close();
+    }
     if (resumption != null) {
       resumption.close();
     }
--- a/proxy/src/main/java/lemondeal/Serve.java
+++ b/proxy/src/main/java/lemondeal/Serve.java
@@ -31,7 +31,8 @@
         extras.begin(config);
       }
       EventLog log = extras == null ? new PlainLog(System.err) : extras.log();
-      Proxy proxy = new Proxy(config, new Logic(), log, extras == null ? null : extras.resumption());
+      Proxy proxy = extras == null ? new Proxy(config, new Logic(), log, null)
+          : new Proxy(config, new Logic(), log, extras.resumption(), extras.sources());
       Reload reload = new Reload(config, environment, proxy::reconfigure, log,
           extras == null ? () -> { } : extras::reload);
       Hangup.handle(reload::request);
--- a/proxy/src/main/java/lemondeal/discovery/HostGroup.java
+++ b/proxy/src/main/java/lemondeal/discovery/HostGroup.java
@@ -41,6 +41,29 @@
     return take(list, ListKind.SAVED);
   }
 
+  /**
+   * Takes in a whole list of another source than the platform's: every server with its address, none that is gone.
+   *
+   * @param version grows with each list of the source
+   * @param addresses of each entry's server
+   */
+  public ServerList replace(long version, List<ServerEntry> entries, Map<String, InetSocketAddress> addresses) {
+    generation = version;
+    this.addresses.clear();
+    this.addresses.putAll(addresses);
+    return new ServerList(version, ListKind.FULL, List.copyOf(entries));
+  }
+
+  /** The place of a zone's name in the settings' list; names that the settings lack come after them all. */
+  public int zone(String name) {
+    return index(names.zones(), name);
+  }
+
+  /** The place of a model's name in the settings' list, as for zones. */
+  public int model(String name) {
+    return index(names.models(), name);
+  }
+
   /** Takes in a list or a line of changes, whichever it says it is. */
   public ServerList update(Map<String, Object> list) throws ProtocolException {
     return take(list, Boolean.TRUE.equals(list.get("reset")) ? ListKind.FULL : ListKind.CHANGES);
--- a/proxy/src/main/java/lemondeal/operator/Operator.java
+++ b/proxy/src/main/java/lemondeal/operator/Operator.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import lemondeal.config.Addresses;
 import lemondeal.config.TlsFiles;
+import lemondeal.consul.ConsulSettings;
 import lemondeal.resume.ResumeSettings;
 
 /**
@@ -16,14 +17,14 @@
  *
  * @param jsonLog whether the log is one JSON object a line
  * @param ringsMb megabytes that ring buffers may take at most; 0 where the platform's bound holds
+ * @param consul null where the servers are not listed by Consul
  * @param resume null where no client can resume
  */
-public record Operator(boolean jsonLog, int ringsMb, Resume resume) {
+public record Operator(boolean jsonLog, int ringsMb, ConsulSettings consul, Resume resume) {
   /** What an installation without such a file has. */
-  public static final Operator NONE = new Operator(false, 0, null);
+  public static final Operator NONE = new Operator(false, 0, null, null);
 
   private static final long SECOND = 1000;
-  private static final long DAY = 24 * 3600 * SECOND;
   private static final int WINDOW = 256;
   private static final int MOST = 10_000;
   private static final int MOST_CLAIMS = 100_000;
@@ -49,6 +50,8 @@
     List<Fault> faults = new ArrayList<>();
     Operator operator = new Operator(root.path("log").path("format").asText("plain").equals("json"),
         root.path("limits").path("rings_mb").asInt(0),
+        root.path("discovery").has("consul") ? new ConsulSection(root.path("discovery").get("consul"), file,
+            what -> faults.add(new Fault(file.toString(), 0, 0, what))).settings() : null,
         root.has("resume") ? new Section(file, root.get("resume"), faults).resume() : null);
     if (!faults.isEmpty()) {
       throw new FileFaults(faults);
@@ -87,12 +90,7 @@
     }
 
     private TlsFiles tls(JsonNode tls) {
-      if (tls.has("certificate") != tls.has("key")) {
-        fault("resume.claims.tls: certificate and key come together; found only " + (tls.has("key") ? "key" : "certificate"));
-      }
-      return new TlsFiles(path(tls.get("authority").asText()),
-          tls.has("certificate") ? path(tls.get("certificate").asText()) : null,
-          tls.has("key") ? path(tls.get("key").asText()) : null, tls.has("name") ? tls.get("name").asText() : null);
+      return Tls.read(tls, file, "resume.claims.tls", this::fault);
     }
 
     private ResumeSettings settings() {
@@ -115,22 +113,7 @@
     }
 
     private long millis(String key, long otherwise) {
-      if (!node.has(key)) {
-        return otherwise;
-      }
-      String text = node.get(key).asText();
-      int unit = text.endsWith("ms") ? 2 : 1;
-      long number = Long.parseLong(text.substring(0, text.length() - unit));
-      long millis = number * switch (text.substring(text.length() - unit)) {
-        case "ms" -> 1;
-        case "s" -> SECOND;
-        case "m" -> 60 * SECOND;
-        default -> 3600 * SECOND;
-      };
-      if (millis > DAY) {
-        fault("resume." + key + ": found " + text + "; allowed: 1ms to 24h");
-      }
-      return millis;
+      return Times.millis(node, "resume", key, otherwise, this::fault);
     }
 
     /** Paths are meant from where the file is. */
--- a/proxy/src/test/java/lemondeal/operator/OperatorTest.java
+++ b/proxy/src/test/java/lemondeal/operator/OperatorTest.java
@@ -67,7 +67,7 @@
   void allFaultsAreToldAtOnceEachWithItsPlace() throws IOException {
     assertEquals(List.of(
         "1:10 version: found 2; allowed: the whole number 1",
-        "2:1 the file: unknown key 'logg'; allowed: limits, log, resume, version",
+        "2:1 the file: unknown key 'logg'; allowed: discovery, limits, log, resume, version",
         "4:3 resume: the key 'keys' is missing; allowed: the path of a key file",
         "4:12 resume.classes: found []; allowed: a list of at least one class, each named once",
         "5:9 resume.life: found \"5 seconds\"; allowed: a time such as 250ms, 30s or 5m, 1ms to 24h",
