Count flaps while a server is drained, and keep hearing Consul while a loss is confirmed

- "back 749 ms after the last flap": a server that flapped ten times in 3 s served again 1 s after its last failure.
Damping.next counted a flap only when the believed state went from serving to failing, and a damped server never serves, so nine of the ten flaps were lost.
- "Consul is heard again" failed: an answer kept for its size (empty at once) made the source wait its whole confirm time, 5 s, before asking again, and a critical check in between went unheard.
A kept answer is now followed on with a blocking query from its index, and a read at the confirm time believes it if it stands.
- Log lines of one event were bounded to one in 10 s whatever their reason, so "no leader" hid "empty at once": the bound is now by event and reason.

--- a/lab/src/test/java/lemondeal/lab/consul/ConsulSiteTest.java
+++ b/lab/src/test/java/lemondeal/lab/consul/ConsulSiteTest.java
@@ -57,4 +57,64 @@
       assertTrue(clients.counts().getOrDefault("UP", 0L) > 100, clients.counts().toString());
     }
   }
+
+  /**
+   * Consul away in each of its ways, one after the other, while a server dies: the list held stays, the dead server's
+   * work goes elsewhere by the proxies' own failures, and all others are served throughout.
+   */
+  @Test
+  void theListHeldOutlastsAnAbsentOrBrokenCatalogue() throws Exception {
+    // A silent Consul can't be told from a blocking query that waits: it is told after the wait and some slack.
+    try (ConsulSite site = new ConsulSite(3, 6, DAMPING + "\nwait: 1s\npace: {least: 50ms, first: 200ms, most: 1s}");
+        ShortClients clients = new ShortClients(site::front, 18)) {
+      awaitWork(site, List.of("s-1", "s-2", "s-3", "s-4", "s-5", "s-6"));
+      for (ConsulStandIn.Mood mood : List.of(ConsulStandIn.Mood.SILENT, ConsulStandIn.Mood.FAILS,
+          ConsulStandIn.Mood.TOO_OFTEN, ConsulStandIn.Mood.RESETS, ConsulStandIn.Mood.GARBLES, ConsulStandIn.Mood.CUTS,
+          ConsulStandIn.Mood.NO_LEADER, ConsulStandIn.Mood.EMPTY)) {
+        site.consul().mood(mood);
+        if (mood == ConsulStandIn.Mood.FAILS) {
+          site.server("s-6").close();
+        }
+        Thread.sleep(mood == ConsulStandIn.Mood.SILENT ? 5000 : 1500);
+        awaitWork(site, List.of("s-1", "s-2", "s-3", "s-4", "s-5"));
+      }
+      site.consul().mood(ConsulStandIn.Mood.ANSWERS);
+      site.consul().status(site.key("s-1"), "critical");
+      Thread.sleep(1500);
+      long since = System.nanoTime();
+      Thread.sleep(1000);
+      assertTrue(site.server("s-1").lastOpenNanos() < since, "Consul is heard again");
+      clients.close();
+      assertEquals(List.of(), clients.breaches());
+      long served = clients.counts().getOrDefault("UP", 0L);
+      long refused = clients.counts().getOrDefault("BUSY", 0L) + clients.counts().getOrDefault("ERR", 0L);
+      assertTrue(refused * 20 < served, "served throughout: " + clients.counts());
+      assertTrue(site.proxies().get(0).log().stream().anyMatch(line -> line.contains("not believed (empty at once)")),
+          String.join("\n", site.proxies().get(0).log()));
+    }
+  }
+
+  /** A server that fails and recovers again and again gets no work while it does, and work once it is quiet. */
+  @Test
+  void aFlappingServerGetsNoWorkUntilItIsQuiet() throws Exception {
+    try (ConsulSite site = new ConsulSite(2, 4, DAMPING);
+        ShortClients clients = new ShortClients(site::front, 12)) {
+      awaitWork(site, List.of("s-1", "s-2", "s-3", "s-4"));
+      String key = site.key("s-1");
+      long first = System.nanoTime();
+      for (int flap = 0; flap < 10; flap++) {
+        site.consul().status(key, "critical");
+        Thread.sleep(150);
+        site.consul().status(key, "passing");
+        Thread.sleep(150);
+      }
+      long quiet = System.nanoTime();
+      assertTrue(site.server("s-1").lastOpenNanos() < first + SECOND, "work while it flapped");
+      awaitWork(site, List.of("s-1"));
+      long back = site.server("s-1").lastOpenNanos();
+      assertTrue(back - quiet > 2 * SECOND, "back " + (back - quiet) / 1_000_000 + " ms after the last flap");
+      clients.close();
+      assertEquals(List.of(), clients.breaches());
+    }
+  }
 }
--- a/proxy/src/main/java/lemondeal/consul/ConsulSource.java
+++ b/proxy/src/main/java/lemondeal/consul/ConsulSource.java
@@ -58,6 +58,7 @@
   private CompletableFuture<?> out;
   private Timers.Timer next;
   private Timers.Timer recheck;
+  private Timers.Timer confirm;
   /** Grows with each change of settings: a reply to a call of before is not heard. */
   private int epoch;
 
@@ -175,7 +176,7 @@
     }
     failures = 0;
     if (!reply.unusable().isEmpty()) {
-      tell("consul-unusable", "lemondeal: " + reply.unusable().size() + " of Consul's instances can't be used, as "
+      tell("consul-unusable", "", "lemondeal: " + reply.unusable().size() + " of Consul's instances can't be used, as "
           + reply.unusable().get(0), "count", reply.unusable().size());
     }
     long now = System.currentTimeMillis();
@@ -186,6 +187,8 @@
       // A blocking query that returns with nothing changed, as after its wait, says nothing new.
       boolean same = reply.index() == index && index > 0 && keptSince == 0;
       keptSince = 0;
+      Timers.cancel(confirm);
+      confirm = null;
       index = take.from();
       if (!same) {
         lastTaken = reply.members();
@@ -193,17 +196,28 @@
       }
       again(AskPace.pause(AskPace.Ended.ANSWERED, 0, reply.took(), random.nextDouble(), settings.pace()));
     } else if (verdict instanceof ListGuard.Keep keep) {
-      tell("consul-kept", "lemondeal: Consul's answer is not believed (" + keep.why() + "); the list held stays",
-          "why", keep.why());
+      tell("consul-kept", keep.why().replaceAll("[0-9]", ""), "lemondeal: Consul's answer is not believed ("
+          + keep.why() + "); the list held stays", "why", keep.why());
       index = keep.from();
       if (keep.bySize() && keptSince == 0) {
         keptSince = now;
+        confirm = timers.after(settings.guard().confirmAfter() * MILLI, this::confirm);
       }
-      again(keep.bySize() ? settings.guard().confirmAfter()
+      again(keep.bySize() ? AskPace.pause(AskPace.Ended.ANSWERED, 0, reply.took(), random.nextDouble(), settings.pace())
           : AskPace.pause(AskPace.Ended.FAILED, failures++, reply.took(), random.nextDouble(), settings.pace()));
     }
   }
 
+  /** An answer kept for its size is asked for once more, at once: if it stands, it is believed. */
+  private void confirm() {
+    confirm = null;
+    if (keptSince > 0 && watching) {
+      cancel();
+      index = 0;
+      ask();
+    }
+  }
+
   private void failed(ConsulClient.Reply reply) {
     AskPace.Ended ended = reply.status() == 429 ? AskPace.Ended.TOO_OFTEN : AskPace.Ended.FAILED;
     InetSocketAddress asked = settings.agents().get(agent);
@@ -211,8 +225,9 @@
     if (ended == AskPace.Ended.FAILED && settings.agents().size() > 1) {
       agent = (agent + 1) % settings.agents().size();
     }
-    tell("consul-failed", "lemondeal: Consul at " + Addresses.text(asked) + " did not answer: " + reply.fault()
-        + "; the list held stays", "agent", Addresses.text(asked), "why", reply.fault());
+    tell("consul-failed", Addresses.text(asked) + " " + reply.status(), "lemondeal: Consul at " + Addresses.text(asked)
+        + " did not answer: " + reply.fault() + "; the list held stays", "agent", Addresses.text(asked), "why",
+        reply.fault());
     again(AskPace.pause(ended, failures++, reply.took(), random.nextDouble(), settings.pace()));
   }
 
@@ -297,11 +312,12 @@
     }
   }
 
-  private void tell(String event, String line, Object... fields) {
+  /** Tells an event, at most once in a while for each kind of it: {@code kind} tells kinds of one event apart. */
+  private void tell(String event, String kind, String line, Object... fields) {
     long now = System.currentTimeMillis();
-    Long last = toldAt.get(event);
+    Long last = toldAt.get(event + " " + kind);
     if (last == null || now - last >= TELL_EVERY_MILLIS) {
-      toldAt.put(event, now);
+      toldAt.put(event + " " + kind, now);
       log.warn(event, line, fields);
     }
   }
@@ -310,6 +326,8 @@
   public void close() {
     watching = false;
     cancel();
+    Timers.cancel(confirm);
+    Timers.cancel(recheck);
     client.close();
   }
 }
--- a/proxy/src/main/java/lemondeal/membership/Damping.java
+++ b/proxy/src/main/java/lemondeal/membership/Damping.java
@@ -26,14 +26,16 @@
    * What is believed of one instance.
    *
    * @param serves whether new work goes there
-   * @param flaps times it went from serving to failing, since its flaps were last forgotten
+   * @param seenWell whether it was well when last seen, whatever is believed
+   * @param flaps times it was seen to go from well to failing, since its flaps were last forgotten: also while no work
+   *     goes there, or a server that flaps fast would be back after the first quiet time
    * @param failedAt when it was last seen failing, Unix milliseconds; 0 for never
    * @param servesSince since when it serves, Unix milliseconds
    */
-  public record State(boolean serves, int flaps, long failedAt, long servesSince) {
+  public record State(boolean serves, boolean seenWell, int flaps, long failedAt, long servesSince) {
     /** An instance seen for the first time, serving or not. */
     public static State first(Health seen, long now) {
-      return seen.serves() ? new State(true, 0, 0, now) : new State(false, 0, now, 0);
+      return seen.serves() ? new State(true, true, 0, 0, now) : new State(false, false, 0, now, 0);
     }
   }
 
@@ -42,13 +44,14 @@
   /** What is believed after {@code seen} at {@code now}. */
   public static State next(State before, Health seen, long now, Settings settings) {
     if (!seen.serves()) {
-      return new State(false, before.serves() ? before.flaps() + 1 : before.flaps(), now, 0);
+      return new State(false, false, before.seenWell() ? before.flaps() + 1 : before.flaps(), now, 0);
     }
     if (before.serves()) {
       boolean calm = now - before.servesSince() >= settings.forget();
-      return calm && before.flaps() > 0 ? new State(true, 0, before.failedAt(), now) : before;
+      return calm && before.flaps() > 0 ? new State(true, true, 0, before.failedAt(), now) : before;
     }
-    return now >= servesAgainAt(before, settings) ? new State(true, before.flaps(), before.failedAt(), now) : before;
+    return now >= servesAgainAt(before, settings) ? new State(true, true, before.flaps(), before.failedAt(), now)
+        : new State(false, true, before.flaps(), before.failedAt(), 0);
   }
 
   /**
--- a/proxy/src/main/java/lemondeal/membership/ListGuard.java
+++ b/proxy/src/main/java/lemondeal/membership/ListGuard.java
@@ -47,7 +47,10 @@
   /** Believed; the next blocking query waits for changes after {@code from}. */
   public record Take(long from) implements Verdict {}
 
-  /** Not believed; the list held stays and the catalogue is asked again from {@code from}. */
+  /**
+   * Not believed; the list held stays and the catalogue is asked again from {@code from}. One kept for its size is
+   * followed on, so that other changes are heard, and asked for once more after {@link Settings#confirmAfter()}.
+   */
   public record Keep(String why, long from, boolean bySize) implements Verdict {}
 
   private ListGuard() {}
@@ -63,10 +66,10 @@
     }
     boolean confirmed = held.keptSince() > 0 && now - held.keptSince() >= settings.confirmAfter();
     if (answer.instances() == 0 && held.serving() > 0 && !settings.emptyBelieved() && !confirmed) {
-      return new Keep("empty at once", 0, true);
+      return new Keep("empty at once", from, true);
     }
     if (held.serving() > 0 && answer.lost() > settings.mostLost() * held.serving() && !confirmed) {
-      return new Keep(answer.lost() + " of " + held.serving() + " gone at once", 0, true);
+      return new Keep(answer.lost() + " of " + held.serving() + " gone at once", from, true);
     }
     return new Take(from);
   }
