Test Consul's answers cut, damaged and hostile, the status table, and the file's section

The status table (worst check, maintenance above all, serfHealth for the node, another service's check ignored), zone, model and cell from tags and metadata, addresses of the service, the node or a tagged one, names refused, the same service id on two nodes two servers. OperatorTest: the section read whole, and its faults with what is allowed.

--- /dev/null
+++ b/proxy/src/test/java/lemondeal/consul/HealthAnswerTest.java
@@ -0,0 +1,180 @@
+package lemondeal.consul;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import lemondeal.codec.Cuts;
+import lemondeal.codec.ProtocolException;
+import lemondeal.membership.Health;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** Consul's answers read, and what is not one refused with a reason, whatever it holds. */
+class HealthAnswerTest {
+  private final HealthAnswer parser = new HealthAnswer(1000);
+
+  /** One entry as Consul's documentation shapes it, with fields the proxy does not use among those it does. */
+  static String entry(String node, String id, int port, String checks) {
+    return """
+        {"Node":{"ID":"40e4a748","Node":"%s","Address":"10.1.10.12","Datacenter":"dc1",
+          "TaggedAddresses":{"lan":"10.1.10.12","wan":"10.1.10.12"},"Meta":{"zone":"b","rack":"r7"}},
+         "Service":{"ID":"%s","Service":"link","Tags":["primary","zone=a","v1"],"Address":"",
+          "TaggedAddresses":{"lan_ipv4":{"Address":"10.1.10.13","Port":%d},"wan":{"Address":"198.18.0.1","Port":80}},
+          "Meta":{"model":"small","cell":"3","nested":"x"},"Port":%d,"Weights":{"Passing":10,"Warning":1},
+          "EnableTagOverride":false,"Proxy":{"Upstreams":[{"DestinationName":"db","Config":{"a":[1,2,{"b":null}]}}]},
+          "Connect":{},"Namespace":"default","Partition":"default","CreateIndex":7,"ModifyIndex":9},
+         "Checks":[%s]}""".formatted(node, id, port, port, checks);
+  }
+
+  static String check(String id, String service, String status) {
+    return """
+        {"Node":"n","CheckID":"%s","Name":"%s","Status":"%s","Notes":"","Output":"HTTP GET: 200 OK",
+         "ServiceID":"%s","ServiceName":"link","ServiceTags":[],"Type":"http","Definition":{},"CreateIndex":3}"""
+        .formatted(id, id, status, service);
+  }
+
+  private static final String SOUND = check("serfHealth", "", "passing") + "," + check("service:web", "web", "passing");
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  @Example
+  void anAnswerIsReadWithWhatItSaysAndNothingElse() throws ProtocolException {
+    List<CatalogEntry> entries = parser.read(bytes("[" + entry("n1", "web", 8080, SOUND) + ","
+        + entry("n2", "web", 8081, check("serfHealth", "", "critical")) + "]"));
+    assertEquals(2, entries.size());
+    CatalogEntry first = entries.get(0);
+    assertEquals("n1", first.node());
+    assertEquals("10.1.10.12", first.nodeAddress());
+    assertEquals(Map.of("zone", "b", "rack", "r7"), first.nodeMeta());
+    assertEquals(List.of("primary", "zone=a", "v1"), first.tags());
+    assertEquals("10.1.10.13:8080", first.taggedAddresses().get("lan_ipv4"));
+    assertEquals(10, first.passingWeight());
+    assertEquals(7, first.createIndex());
+    assertEquals(2, first.checks().size());
+    assertEquals(new CatalogEntry.Check("serfHealth", "", "critical"), entries.get(1).checks().get(0));
+    assertEquals(List.of(), parser.read(bytes("[]")));
+  }
+
+  /** Consul leaves out what is empty, or gives null: both are as nothing. */
+  @Example
+  void nullsAndAbsentFieldsAreEmpty() throws ProtocolException {
+    CatalogEntry entry = parser.read(bytes("""
+        [{"Node":{"Node":"n1","Address":"10.0.0.1","Meta":null},
+          "Service":{"ID":"a","Port":1,"Tags":null,"Meta":null,"Weights":null,"TaggedAddresses":null},"Checks":null}]
+        """)).get(0);
+    assertEquals(List.of(), entry.tags());
+    assertEquals(1, entry.passingWeight());
+    assertEquals(List.of(), entry.checks());
+  }
+
+  /** Cut anywhere, an answer is no answer: never half a list. */
+  @Property(seed = "11", tries = 300)
+  void aCutAnswerIsRefused(@ForAll @IntRange(min = 0, max = 2000) int at) {
+    String whole = "[" + entry("n1", "web", 8080, SOUND) + "," + entry("n2", "api", 9090, SOUND) + "]";
+    String cut = whole.substring(0, Math.min(at, whole.length() - 1));
+    ProtocolException refused = assertThrows(ProtocolException.class, () -> parser.read(bytes(cut)));
+    assertFalse(refused.getMessage().isEmpty());
+  }
+
+  /** Damaged anywhere: read, or refused with a reason, and nothing else comes of it. */
+  @Property(seed = "12", tries = 500)
+  void garbageIsRefusedWithAReason(@ForAll long seed) {
+    String whole = "[" + entry("n1", "web", 8080, SOUND) + "]";
+    Cuts.feedDamaged(whole, seed, new Cuts.Taker() {
+      private final ByteArrayOutputStream all = new ByteArrayOutputStream();
+
+      @Override
+      public void take(java.nio.ByteBuffer piece) throws ProtocolException {
+        byte[] part = new byte[piece.remaining()];
+        piece.duplicate().get(part);
+        all.writeBytes(part);
+        if (all.size() == whole.length()) {
+          parser.read(all.toByteArray());
+        }
+      }
+    });
+  }
+
+  @Example
+  void hostileAnswersAreRefusedQuickly() {
+    // Under a field that is passed over, where only the bound on depth can stop it.
+    String deep = "[{\"Extra\":" + "[".repeat(5000) + "]".repeat(5000) + "}]";
+    assertTrue(assertThrows(ProtocolException.class, () -> parser.read(bytes(deep))).getMessage().contains("depth"));
+    String longText = "[{\"Node\":{\"Node\":\"" + "x".repeat(100_000) + "\"}}]";
+    assertThrows(ProtocolException.class, () -> parser.read(bytes(longText)));
+    String wrongType = "[" + entry("n1", "web", 8080, SOUND).replace("\"Port\":8080,\"Weights\"",
+        "\"Port\":\"8080\",\"Weights\"") + "]";
+    assertTrue(assertThrows(ProtocolException.class, () -> parser.read(bytes(wrongType))).getMessage()
+        .contains("Service.Port"));
+    assertThrows(ProtocolException.class, () -> parser.read(bytes("<html>502 Bad Gateway</html>")));
+    assertThrows(ProtocolException.class, () -> parser.read(bytes("{\"error\":\"no\"}")));
+    assertThrows(ProtocolException.class, () -> parser.read(bytes("[] []")));
+    String badStatus = "[" + entry("n1", "web", 8080, check("serfHealth", "", "maybe")) + "]";
+    assertThrows(ProtocolException.class, () -> parser.read(bytes(badStatus)));
+    String many = "[" + String.join(",", java.util.Collections.nCopies(3, entry("n1", "web", 1, SOUND))) + "]";
+    assertTrue(assertThrows(ProtocolException.class, () -> new HealthAnswer(2).read(bytes(many))).getMessage()
+        .contains("more than 2"));
+  }
+
+  // ---- The mapping ------------------------------------------------------------------------------
+
+  private static CatalogEntry one(String checks) throws ProtocolException {
+    return new HealthAnswer(10).read(bytes("[" + entry("n1", "web", 8080, checks) + "]")).get(0);
+  }
+
+  /** The table of docs/CONSUL.md: the worst check counts, maintenance above all. */
+  @Example
+  void checksBecomeHealthByTheTable() throws ProtocolException {
+    assertEquals(Health.PASSING, Mapping.health(one(SOUND)));
+    assertEquals(Health.WARNING, Mapping.health(one(SOUND + "," + check("disk", "web", "warning"))));
+    assertEquals(Health.CRITICAL, Mapping.health(one(check("service:web", "web", "critical"))));
+    assertEquals(Health.CRITICAL, Mapping.health(one(check("serfHealth", "", "critical"))), "its node fails or leaves");
+    assertEquals(Health.MAINTENANCE, Mapping.health(one(SOUND + "," + check("_node_maintenance", "", "critical"))));
+    assertEquals(Health.MAINTENANCE,
+        Mapping.health(one(check("_service_maintenance:web", "web", "critical") + "," + check("x", "web", "critical"))));
+    assertEquals(Health.PASSING, Mapping.health(one(SOUND + "," + check("service:other", "other", "critical"))),
+        "another service's check on the same node");
+  }
+
+  @Example
+  void fieldsAndAddressesAreTakenWhereTheOperatorSays() throws Exception {
+    Mapping mapping = new Mapping(Mapping.AddressFrom.SERVICE, null, new Mapping.Field(Mapping.Where.TAG, "zone="),
+        new Mapping.Field(Mapping.Where.SERVICE_META, "model"), new Mapping.Field(Mapping.Where.SERVICE_META, "cell"));
+    Mapping.Member member = mapping.member(one(SOUND));
+    assertEquals("n1/web", member.id());
+    assertEquals("a", member.zone());
+    assertEquals("small", member.model());
+    assertEquals(3, member.cell());
+    assertEquals(new InetSocketAddress("10.1.10.12", 8080), member.address(), "the node's, where the service has none");
+    Mapping byNode = new Mapping(Mapping.AddressFrom.NODE, null, new Mapping.Field(Mapping.Where.NODE_META, "zone"),
+        null, null);
+    assertEquals("b", byNode.member(one(SOUND)).zone());
+    Mapping tagged = new Mapping(Mapping.AddressFrom.TAGGED, "lan_ipv4", null, null, null);
+    assertEquals(new InetSocketAddress("10.1.10.13", 8080), tagged.member(one(SOUND)).address());
+    Mapping missing = new Mapping(Mapping.AddressFrom.TAGGED, "lan_ipv6", null, null, null);
+    assertThrows(Mapping.Unusable.class, () -> missing.member(one(SOUND)));
+    CatalogEntry named = new HealthAnswer(10).read(bytes("[" + entry("n1", "web", 8080, SOUND)
+        .replace("\"Address\":\"\",", "\"Address\":\"web.service.consul\",") + "]")).get(0);
+    assertTrue(assertThrows(Mapping.Unusable.class, () -> Mapping.DEFAULT.member(named)).getMessage()
+        .contains("no numeric address"), "no name is looked up");
+  }
+
+  /** A service id is unique on its node alone: the same id on two nodes is two servers. */
+  @Example
+  void theSameServiceIdOnTwoNodesIsTwoServers() throws Exception {
+    List<CatalogEntry> two = parser.read(bytes("[" + entry("n1", "web", 8080, SOUND) + ","
+        + entry("n2", "web", 8080, SOUND) + "]"));
+    assertFalse(Mapping.DEFAULT.member(two.get(0)).id().equals(Mapping.DEFAULT.member(two.get(1)).id()));
+  }
+}
--- a/proxy/src/test/java/lemondeal/operator/OperatorTest.java
+++ b/proxy/src/test/java/lemondeal/operator/OperatorTest.java
@@ -112,6 +112,51 @@
         .contains("no numeric address:port"));
   }
 
+  @Test
+  void consulIsReadWithItsMappingAndBounds() throws IOException {
+    Operator operator = Operator.read(file("""
+        version: 1
+        discovery:
+          consul:
+            agents: ['10.0.0.1:8501', '10.0.0.2:8501']
+            service: link
+            datacenter: dc2
+            consistency: stale
+            filter: 'Service.Meta.pool == "a"'
+            wait: 20s
+            token_file: consul.token
+            tls: {authority: ca.pem, name: consul.example}
+            address: tagged:lan_ipv4
+            zone: {from: node_meta, key: zone}
+            cell: {from: tag, key: 'cell='}
+            damping: {quiet: 3s, most: 90s}
+            guard: {most_lost: 0.3, empty: true}
+        """));
+    lemondeal.consul.ConsulSettings consul = operator.consul();
+    assertEquals(2, consul.agents().size());
+    assertEquals("dc2", consul.datacenter());
+    assertEquals(lemondeal.consul.ConsulSettings.Consistency.STALE, consul.consistency());
+    assertEquals(20_000, consul.waitMillis());
+    assertEquals(folder.resolve("consul.token"), consul.tokenFile());
+    assertEquals("consul.example", consul.tls().name());
+    assertEquals(lemondeal.consul.Mapping.AddressFrom.TAGGED, consul.mapping().address());
+    assertEquals("lan_ipv4", consul.mapping().tagged());
+    assertEquals(new lemondeal.consul.Mapping.Field(lemondeal.consul.Mapping.Where.TAG, "cell="), consul.mapping().cell());
+    assertEquals(new lemondeal.membership.Damping.Settings(3_000, 90_000, 300_000), consul.damping());
+    assertEquals(0.3, consul.guard().mostLost());
+    assertTrue(consul.guard().emptyBelieved());
+    assertEquals(null, operator.resume());
+    String start = "version: 1\ndiscovery:\n  consul:\n    service: link\n";
+    assertEquals(List.of("0:0 discovery.consul.agents: 'consul:8500' is no numeric address:port"),
+        faults(start + "    agents: ['consul:8500']\n"));
+    assertEquals(List.of("0:0 discovery.consul.wait: found 20m; allowed: 1ms to 10m"),
+        faults(start + "    agents: ['1.2.3.4:8500']\n    wait: 20m\n"));
+    assertEquals(List.of("0:0 discovery.consul.damping.most: found 1000 ms; allowed: at least quiet, 5000 ms"),
+        faults(start + "    agents: ['1.2.3.4:8500']\n    damping: {quiet: 5s, most: 1s}\n"));
+    assertTrue(faults(start + "    agents: ['1.2.3.4:8500']\n    address: dns\n").get(0).contains("service, node, or tagged:NAME"));
+    assertTrue(faults("version: 1\ndiscovery:\n  consul:\n    agents: []\n").size() >= 2, "service and agents");
+  }
+
   @Test
   void whatIsNoYamlIsAFaultOfItsPlace() throws IOException {
     assertEquals(List.of("2:1 the key 'version' stands here twice"), faults("version: 1\nversion: 1\n"));
