--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 JAVA := java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms16m -Xmx32m -XX:MaxMetaspaceSize=24m \
 	-XX:ReservedCodeCacheSize=12m -XX:MaxDirectMemorySize=16m -Xss512k -XX:-UsePerfData -Djava.net.preferIPv4Stack=true
 
-.PHONY: build jar archive test lint lab measure-resume drain-day run clean
+.PHONY: build jar archive test lint lab measure-resume drain-day consul run clean
 
 build: jar archive
 
@@ -37,6 +37,10 @@
 drain-day: lab
 	$(LAB) drain-day
 
+# A stand-in Consul with link servers, changed by lines on standard input: docs/CONSUL.md.
+consul: lab
+	$(LAB) consul
+
 lab:
 	$(MAVEN) -q -DskipTests package dependency:build-classpath -Dmdep.outputFile=target/classpath.txt
 
--- a/lab/src/main/java/lemondeal/lab/Lab.java
+++ b/lab/src/main/java/lemondeal/lab/Lab.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.Callable;
 import lemondeal.lab.claims.ClaimStoreServer;
+import lemondeal.lab.consul.ConsulConsole;
 import lemondeal.lab.measure.Reports;
 import lemondeal.lab.stream.DrainDay;
 import picocli.CommandLine;
@@ -14,7 +15,7 @@
 
 /** The lab's command line: stand-ins to start by hand, and measurements. Never on the platform. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Stand-ins and measurements.",
-    subcommands = {Lab.Drains.class, Lab.MeasureResume.class, Lab.ClaimStore.class})
+    subcommands = {Lab.Drains.class, Lab.MeasureResume.class, Lab.ClaimStore.class, Lab.Consul.class})
 public final class Lab implements Runnable {
   @CommandLine.Spec
   private CommandLine.Model.CommandSpec spec;
@@ -25,7 +26,7 @@
 
   @Override
   public void run() {
-    throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing: drain-day, measure-resume or claim-store");
+    throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing: drain-day, measure-resume, claim-store or consul");
   }
 
   /** {@code drain-day}. */
@@ -102,4 +103,28 @@
       return CommandLine.ExitCode.OK;
     }
   }
+
+  /** {@code consul}. */
+  @Command(name = "consul", mixinStandardHelpOptions = true,
+      description = "Run the stand-in Consul with link servers registered, changed by lines on standard input, until it "
+          + "ends.")
+  static final class Consul implements Callable<Integer> {
+    @Option(names = "--servers", defaultValue = "4", description = "Link servers registered at first (${DEFAULT-VALUE}).")
+    private int servers;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException {
+      if (servers < 0 || servers > 500) {
+        throw new CommandLine.ParameterException(spec.commandLine(), "--servers: found " + servers + "; allowed: 0 to 500");
+      }
+      try (ConsulConsole console = new ConsulConsole(servers, System.out)) {
+        console.run(new java.io.BufferedReader(new java.io.InputStreamReader(System.in,
+            java.nio.charset.StandardCharsets.UTF_8)));
+      }
+      return CommandLine.ExitCode.OK;
+    }
+  }
 }
