Measure Consul's drains, lists of many instances and calls, and wake waiting calls on faults

lab measure-consul (make measure-consul): the three as Markdown tables on real proxies and the stand-in; I/O-thread stalls as the round trip of a PING on a new connection, which the I/O thread accepts and answers.

The stand-in's blocking calls were not woken by a change of mood (mood() set a field, the waiters slept on the lock until their 30 s), so they waited out their wait; mood() now wakes them, and a call is answered in the mood that holds when it wakes.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 JAVA := java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms16m -Xmx32m -XX:MaxMetaspaceSize=24m \
 	-XX:ReservedCodeCacheSize=12m -XX:MaxDirectMemorySize=16m -Xss512k -XX:-UsePerfData -Djava.net.preferIPv4Stack=true
 
-.PHONY: build jar archive test lint lab measure-resume drain-day consul run clean
+.PHONY: build jar archive test lint lab measure-resume measure-consul drain-day consul run clean
 
 build: jar archive
 
@@ -33,6 +33,10 @@
 measure-resume: lab
 	$(LAB) measure-resume --out lab/target/resume.md
 
+# Servers from Consul on real proxies: some minutes. The tables are left in lab/target/consul.md.
+measure-consul: lab
+	$(LAB) measure-consul --out lab/target/consul.md
+
 # Servers drained in turn under resuming clients: half a minute, told as it goes.
 drain-day: lab
 	$(LAB) drain-day
--- a/lab/src/main/java/lemondeal/lab/Lab.java
+++ b/lab/src/main/java/lemondeal/lab/Lab.java
@@ -15,7 +15,8 @@
 
 /** The lab's command line: stand-ins to start by hand, and measurements. Never on the platform. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Stand-ins and measurements.",
-    subcommands = {Lab.Drains.class, Lab.MeasureResume.class, Lab.ClaimStore.class, Lab.Consul.class})
+    subcommands = {Lab.Drains.class, Lab.MeasureResume.class, Lab.MeasureConsul.class, Lab.ClaimStore.class,
+        Lab.Consul.class})
 public final class Lab implements Runnable {
   @CommandLine.Spec
   private CommandLine.Model.CommandSpec spec;
@@ -88,6 +89,56 @@
     }
   }
 
+  /** {@code measure-consul}. */
+  @Command(name = "measure-consul", mixinStandardHelpOptions = true,
+      description = "Measure servers from Consul on real proxies against the stand-in; some minutes.")
+  static final class MeasureConsul implements Callable<Integer> {
+    @Option(names = "--plays", defaultValue = "20", description = "Plays of each kind of drain (${DEFAULT-VALUE}).")
+    private int plays;
+
+    @Option(names = "--sizes", split = ",", defaultValue = "100,1000,10000",
+        description = "Instances in a list (${DEFAULT-VALUE}).")
+    private int[] sizes;
+
+    @Option(names = "--fleets", split = ",", defaultValue = "3,48", description = "Proxies on one Consul (${DEFAULT-VALUE}).")
+    private int[] fleets;
+
+    @Option(names = "--seconds", defaultValue = "20", description = "How long each size and fleet runs (${DEFAULT-VALUE}).")
+    private int seconds;
+
+    @Option(names = "--out", paramLabel = "FILE", description = "Where the tables go; standard output if not given.")
+    private Path out;
+
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    @Override
+    public Integer call() throws Exception {
+      check("--plays", plays, 1, 1000);
+      check("--seconds", seconds, 1, 600);
+      for (int size : sizes) {
+        check("--sizes", size, 1, 100_000);
+      }
+      for (int fleet : fleets) {
+        check("--fleets", fleet, 1, 100);
+      }
+      String tables = Reports.consul(plays, sizes, fleets, seconds, System.err);
+      if (out == null) {
+        System.out.print(tables);
+      } else {
+        Files.writeString(out, tables);
+      }
+      return CommandLine.ExitCode.OK;
+    }
+
+    private void check(String name, int value, int least, int most) {
+      if (value < least || value > most) {
+        throw new CommandLine.ParameterException(spec.commandLine(), name + ": found " + value + "; allowed: " + least
+            + " to " + most);
+      }
+    }
+  }
+
   /** {@code claim-store}. */
   @Command(name = "claim-store", mixinStandardHelpOptions = true,
       description = "Run the stand-in claim store until standard input ends. It forgets all with its process.")
--- a/lab/src/main/java/lemondeal/lab/consul/ConsulStandIn.java
+++ b/lab/src/main/java/lemondeal/lab/consul/ConsulStandIn.java
@@ -72,6 +72,26 @@
     int warning = 1;
     long createIndex;
 
+    /** Sets {@code Weights.Warning}. */
+    public void warningWeight(int weight) {
+      warning = weight;
+    }
+
+    /** Adds a tag. */
+    public void tag(String tag) {
+      tags.add(tag);
+    }
+
+    /** Sets a key of the node's metadata. */
+    public void nodeMeta(String key, String value) {
+      nodeMeta.put(key, value);
+    }
+
+    /** Sets the service's own address; empty for its node's. */
+    public void address(String text) {
+      address = text;
+    }
+
     Instance(String node, String nodeAddress, String service, String id, int port) {
       this.node = node;
       this.nodeAddress = nodeAddress;
@@ -124,8 +144,12 @@
     return server.getAddress();
   }
 
+  /** From now on; calls that wait are woken, to be answered in the new mood's way. */
   public void mood(Mood fresh) {
-    mood = fresh;
+    synchronized (lock) {
+      mood = fresh;
+      lock.notifyAll();
+    }
   }
 
   /** Answers only calls whose {@code X-Consul-Token} passes; others get 403, as with an ACL that denies. */
@@ -220,30 +244,10 @@
   private void health(HttpExchange exchange) throws IOException {
     calls.incrementAndGet();
     try (exchange) {
-      Mood now = mood;
-      if (now == Mood.RESETS) {
-        // Closed before any header: the caller sees its connection end under its call.
-        return;
-      }
       if (!onlyToken.test(exchange.getRequestHeaders().getFirst("X-Consul-Token"))) {
         send(exchange, 403, "ACL not found", 0, true, 0);
         return;
       }
-      switch (now) {
-        case SILENT -> {
-          sleep(WAIT_MOST_MILLIS);
-          return;
-        }
-        case FAILS -> {
-          send(exchange, 500, "rpc error: No cluster leader", 0, false, 0);
-          return;
-        }
-        case TOO_OFTEN -> {
-          send(exchange, 429, "rate limit exceeded", 0, true, 0);
-          return;
-        }
-        default -> { }
-      }
       Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
       String service = exchange.getRequestURI().getPath().substring("/v1/health/service/".length());
       long index = whole(query.get("index"));
@@ -251,31 +255,49 @@
           : WAIT_DEFAULT_MILLIS);
       String body;
       long at;
+      Mood now;
       synchronized (lock) {
         long until = System.currentTimeMillis() + waitMillis + waitMillis / 16;
-        while (index > 0 && serviceIndex.getOrDefault(service, raftIndex) <= index && mood == now) {
+        Mood began = mood;
+        while (index > 0 && answersAfterWaiting(began) && serviceIndex.getOrDefault(service, raftIndex) <= index
+            && mood == began) {
           long left = until - System.currentTimeMillis();
           if (left <= 0) {
             break;
           }
           lock.wait(left);
         }
+        now = mood;
         at = serviceIndex.getOrDefault(service, raftIndex);
         body = now == Mood.EMPTY ? "[]" : now == Mood.GARBLES ? "<html>gateway</html>" : entries(service);
       }
-      boolean leader = now != Mood.NO_LEADER;
-      long contact = now == Mood.STALE ? 60_000 : 0;
-      if (now == Mood.CUTS) {
+      answer(exchange, now, body, at);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  /** Whether a blocking query waits in this mood; in the others it is answered, or not, at once. */
+  private static boolean answersAfterWaiting(Mood mood) {
+    return mood != Mood.SILENT && mood != Mood.FAILS && mood != Mood.TOO_OFTEN && mood != Mood.RESETS;
+  }
+
+  private static void answer(HttpExchange exchange, Mood now, String body, long at) throws IOException {
+    switch (now) {
+      case SILENT -> sleep(WAIT_MOST_MILLIS);
+      case FAILS -> send(exchange, 500, "rpc error: No cluster leader", 0, false, 0);
+      case TOO_OFTEN -> send(exchange, 429, "rate limit exceeded", 0, true, 0);
+      case RESETS -> {
+        // Closed before any header: the caller sees its connection end under its call.
+      }
+      case CUTS -> {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
         exchange.getResponseHeaders().set("X-Consul-Index", Long.toString(at));
         exchange.sendResponseHeaders(200, bytes.length);
         exchange.getResponseBody().write(bytes, 0, bytes.length / 2);
         exchange.getResponseBody().flush();
-        return;
       }
-      send(exchange, 200, body, at, leader, contact);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      default -> send(exchange, 200, body, at, now != Mood.NO_LEADER, now == Mood.STALE ? 60_000 : 0);
     }
   }
 
--- a/lab/src/main/java/lemondeal/lab/measure/Reports.java
+++ b/lab/src/main/java/lemondeal/lab/measure/Reports.java
@@ -13,4 +13,13 @@
       throws IOException, InterruptedException, RunnerException {
     return new ResumeReport(clients, progress).run();
   }
+
+  /**
+   * Servers from Consul: drains by kind, lists of many instances, calls on Consul from fleets of proxies. Tables in
+   * Markdown; tells how far it is on {@code progress}.
+   */
+  public static String consul(int repeats, int[] sizes, int[] fleets, int seconds, PrintStream progress)
+      throws IOException, InterruptedException {
+    return new ConsulReport(repeats, sizes, fleets, seconds, progress).run();
+  }
 }
