Keep the last good list on disk, whole or passed over, for a start without its catalogue

A file that is cut, damaged, too old or another service's is told and passed over. A disk that fails is told and serving goes on. Addresses.text writes IPv6 in brackets, as parse reads it.

ListFileTest: cut at every byte, 300 damaged ones, a folder in the way of the write, age and source.

--- a/proxy/src/main/java/lemondeal/config/Addresses.java
+++ b/proxy/src/main/java/lemondeal/config/Addresses.java
@@ -1,5 +1,6 @@
 package lemondeal.config;
 
+import java.net.Inet6Address;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.UnknownHostException;
@@ -9,7 +10,8 @@
   private Addresses() {}
 
   public static String text(InetSocketAddress address) {
-    return address.getAddress().getHostAddress() + ":" + address.getPort();
+    String host = address.getAddress().getHostAddress();
+    return (address.getAddress() instanceof Inet6Address ? "[" + host + "]" : host) + ":" + address.getPort();
   }
 
   /** Numeric addresses only: there is no DNS, and a look-up would stop the I/O thread. */
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/saved/ListFileTest.java
@@ -0,0 +1,108 @@
+package lemondeal.saved;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import lemondeal.log.PlainLog;
+import lemondeal.membership.Health;
+import lemondeal.membership.Member;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The last good list on disk: whole or passed over, whatever became of the file. */
+class ListFileTest {
+  private static final String SOURCE = "consul link";
+  private final ByteArrayOutputStream said = new ByteArrayOutputStream();
+  private final PlainLog log = new PlainLog(new PrintStream(said, true, StandardCharsets.UTF_8));
+  private long now = 1_000_000;
+
+  @TempDir
+  private Path folder;
+
+  private ListFile open() {
+    return new ListFile(new ListFile.Settings(folder.resolve("deep/last.list"), 60_000, 3_600_000), () -> now, log);
+  }
+
+  private static List<Member> members(int count) {
+    List<Member> members = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      members.add(new Member("node/s" + i, "b", "small", i, new InetSocketAddress(InetAddress.getLoopbackAddress(), 80 + i),
+          Health.values()[i % Health.values().length], 10, 1, 7 + i));
+    }
+    return members;
+  }
+
+  /** What still waits is written at the end, in place of what was there. */
+  private byte[] saved(List<Member> members) throws IOException {
+    ListFile file = open();
+    file.save(SOURCE, members(1));
+    file.save(SOURCE, members);
+    file.close();
+    return Files.readAllBytes(folder.resolve("deep/last.list"));
+  }
+
+  @Test
+  void theNewestListIsReadAsItWasWithAnyAddress() throws IOException {
+    List<Member> members = members(9);
+    members.add(new Member("six", "", "", 0, new InetSocketAddress(InetAddress.getByName("::1"), 9), Health.PASSING, 1, 1, 0));
+    saved(members);
+    assertEquals(members, open().read(SOURCE));
+    assertEquals(List.of(), open().read("consul other"), "another service's list");
+    assertTrue(said.toString(StandardCharsets.UTF_8).contains("it lists consul link, not consul other"));
+    now += 60_001;
+    assertEquals(List.of(), open().read(SOURCE), "too old");
+    assertTrue(said.toString(StandardCharsets.UTF_8).contains("60 s old; allowed: 60 s"), said.toString(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void noFileIsNoListAndNoFault() {
+    assertEquals(List.of(), open().read(SOURCE));
+    assertEquals("", said.toString(StandardCharsets.UTF_8));
+  }
+
+  /** Cut at every byte, and damaged at any: passed over and told, never half taken. */
+  @Test
+  void cutOrDamagedIsPassedOver() throws IOException {
+    byte[] whole = saved(members(3));
+    Path place = folder.resolve("deep/last.list");
+    for (int cut = 0; cut < whole.length; cut++) {
+      Files.write(place, Arrays.copyOf(whole, cut));
+      assertEquals(List.of(), open().read(SOURCE), "cut at " + cut);
+    }
+    Random random = new Random(5);
+    for (int i = 0; i < 300; i++) {
+      byte[] damaged = whole.clone();
+      damaged[random.nextInt(whole.length)] ^= (byte) (1 + random.nextInt(255));
+      Files.write(place, damaged);
+      assertEquals(List.of(), open().read(SOURCE));
+    }
+    assertTrue(said.toString(StandardCharsets.UTF_8).contains("its checksum does not fit"));
+    assertTrue(said.toString(StandardCharsets.UTF_8).contains("no list of this program's"));
+  }
+
+  /** A disk that can't be written on is told, what was there stays, and nobody waits. */
+  @Test
+  void aDiskThatFailsIsToldAndTheListBeforeStays() throws IOException {
+    saved(members(2));
+    Files.createDirectory(folder.resolve("deep/last.list.new"));
+    ListFile file = open();
+    file.save(SOURCE, members(5));
+    file.close();
+    assertTrue(said.toString(StandardCharsets.UTF_8).contains("can't be saved"));
+    assertEquals(members(2), open().read(SOURCE));
+    file.save(SOURCE, members(6));
+    assertEquals(members(2), open().read(SOURCE), "closed");
+  }
+}
