--- a/proxy/src/main/java/lemondeal/Balancer.java
+++ b/proxy/src/main/java/lemondeal/Balancer.java
@@ -75,7 +75,13 @@
   record ServerEntry(String server, int zone, int cell, int model, long startedAt, ServerState state,
       double weight) {}
 
-  record ServerList(long version, ListKind kind, List<ServerEntry> entries) implements Event {}
+  /** {@code fleet} counts from 0 where classes have servers of their own; all are one fleet otherwise. */
+  record ServerList(long version, ListKind kind, List<ServerEntry> entries, int fleet) implements Event {
+    /** The list of the one fleet that there is. */
+    public ServerList(long version, ListKind kind, List<ServerEntry> entries) {
+      this(version, kind, entries, 0);
+    }
+  }
 
   /** {@code key}, {@code group}: null where absent. {@code cost}: usual load hint, NaN where absent. */
   record Request(String id, long due, int requestClass, String key, String group, double cost,
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/FleetsTest.java
@@ -0,0 +1,157 @@
+package lemondeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.ClientGone;
+import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.Event;
+import lemondeal.Balancer.ListKind;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.Probe;
+import lemondeal.Balancer.ProbeResult;
+import lemondeal.Balancer.Request;
+import lemondeal.Balancer.Send;
+import lemondeal.Balancer.ServerEntry;
+import lemondeal.Balancer.ServerList;
+import lemondeal.Balancer.ServerState;
+import lemondeal.Balancer.Start;
+import lemondeal.Balancer.Wake;
+import lemondeal.Balancer.WakeAfter;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+
+/** Classes with servers of their own: no request leaves its class's fleet, and nothing of a request is kept. */
+class FleetsTest {
+  private static final long SECOND = 1_000_000;
+
+  private static Balancer.Settings settings() {
+    Balancer.RequestClass one = new Balancer.RequestClass(Balancer.Effect.SAFE, Balancer.RepeatScope.ALL, 0, 500_000,
+        2 * SECOND, 1, 0);
+    return new Balancer.Settings(0, 1, 0, List.of(one, one, one), List.of(),
+        new Balancer.Rules(20_000, SECOND, 4, 2 * SECOND, 0.35, 9 * SECOND, 0),
+        new Balancer.Limits(3, true, true, false, false, true, 2 * SECOND, SECOND),
+        new Balancer.Prices(0.03, 0.2, 0.002, 0, 0.01), Balancer.WeightMeaning.NONE, true, false, true, false, false, 1);
+  }
+
+  private static ServerEntry server(String name, ServerState state) {
+    return new ServerEntry(name, 0, 0, 0, 0, state, 1);
+  }
+
+  /** Classes 0 and 2 have fleet 0, class 1 has fleet 1. */
+  private static Fleets started() {
+    Fleets fleets = new Fleets(List.of(new Logic(), new Logic()), new int[] {0, 1, 0});
+    fleets.on(0, new Start(7, settings()));
+    return fleets;
+  }
+
+  private static ServerList list(int fleet, ListKind kind, ServerState state, String... names) {
+    List<ServerEntry> entries = new ArrayList<>();
+    for (String name : names) {
+      entries.add(server(name, state));
+    }
+    return new ServerList(1, kind, entries, fleet);
+  }
+
+  private static Request request(String id, int requestClass, long now) {
+    return new Request(id, now + 2 * SECOND, requestClass, id, null, Double.NaN, false, false, 0, false);
+  }
+
+  @Example
+  void listedOnceEveryFleetIsAndKnownTogether() {
+    Fleets fleets = started();
+    fleets.on(1, list(0, ListKind.FULL, ServerState.READY, "a1", "a2"));
+    assertFalse(fleets.standing(2).listed(), "the other fleet has told nothing yet");
+    fleets.on(2, list(1, ListKind.FULL, ServerState.READY, "b1"));
+    assertTrue(fleets.standing(3).listed());
+    assertEquals(3, fleets.standing(3).known());
+    fleets.on(4, list(0, ListKind.CHANGES, ServerState.GONE, "a1"));
+    assertEquals(2, fleets.standing(4).known());
+    assertEquals(List.of(), fleets.on(5, new ProbeResult("a1", Outcome.SERVED, 1, null)), "of a server that is gone");
+  }
+
+  @Example
+  void aFleetWithoutServersLeavesTheOthersAlone() {
+    Fleets fleets = started();
+    fleets.on(1, list(0, ListKind.FULL, ServerState.READY, "a1"));
+    fleets.on(1, list(1, ListKind.FULL, ServerState.READY));
+    assertTrue(fleets.on(2, new Arrived(request("r0", 0, 2))).stream().anyMatch(action -> action instanceof Send));
+    assertFalse(fleets.on(3, new Arrived(request("r1", 1, 3))).stream().anyMatch(action -> action instanceof Send));
+  }
+
+  /** What stands round the fleets in a test: attempts that are out, wakes to come, and who was answered. */
+  private static final class Surroundings {
+    private final Fleets fleets = started();
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Send> out = new HashMap<>();
+    private final List<Long> wakes = new ArrayList<>();
+    private long now = 1;
+
+    void tell(Event event) {
+      for (Action action : fleets.on(now, event)) {
+        if (action instanceof Send a) {
+          assertEquals(classes.get(a.id()) == 1 ? 'b' : 'a', a.server().charAt(0), "class " + classes.get(a.id()));
+          out.put(a.id(), a);
+        } else if (action instanceof WakeAfter a) {
+          wakes.add(a.token());
+        } else if (action instanceof Probe a) {
+          tell(new ProbeResult(a.server(), Outcome.SERVED, 1, null));
+        }
+      }
+    }
+
+    void end(Random random, Outcome outcome, boolean over) {
+      String id = List.copyOf(out.keySet()).get(random.nextInt(out.size()));
+      tell(new Ended(id, 0, out.remove(id).server(), outcome, 1000, over || outcome == Outcome.SERVED, null));
+    }
+  }
+
+  /** Random traffic, ends of every kind, clients that leave: sends stay in their fleet, wakes find their way. */
+  @Property(seed = "31", tries = 200)
+  void noRequestLeavesItsFleetAndNothingIsKept(@ForAll long seed) {
+    Random random = new Random(seed);
+    Surroundings all = new Surroundings();
+    all.tell(list(0, ListKind.FULL, ServerState.READY, "a1", "a2", "a3"));
+    all.tell(list(1, ListKind.FULL, ServerState.READY, "b1", "b2", "b3"));
+    for (int step = 0; step < 300; step++) {
+      all.now += random.nextInt(50_000);
+      switch (random.nextInt(8)) {
+        case 0, 1, 2 -> {
+          String id = "r" + step;
+          all.classes.put(id, random.nextInt(3));
+          all.tell(new Arrived(request(id, all.classes.get(id), all.now)));
+        }
+        case 3 -> all.tell(list(random.nextInt(2), ListKind.CHANGES, ServerState.READY));
+        case 4 -> all.tell(new ClientGone("r" + random.nextInt(step + 1)));
+        case 5 -> {
+          if (!all.wakes.isEmpty()) {
+            all.tell(new Wake(all.wakes.remove(0)));
+          }
+        }
+        default -> {
+          if (!all.out.isEmpty()) {
+            all.end(random, Outcome.values()[random.nextInt(Outcome.values().length)], random.nextInt(3) == 0);
+          }
+        }
+      }
+    }
+    all.now += 100 * SECOND;
+    for (int turn = 0; turn < 2000 && all.fleets.requests() > 0; turn++) {
+      if (!all.out.isEmpty()) {
+        all.end(random, Outcome.SERVED, true);
+      } else if (!all.wakes.isEmpty()) {
+        all.tell(new Wake(all.wakes.remove(0)));
+      }
+    }
+    assertEquals(0, all.fleets.requests(), "kept after all is over");
+  }
+}
