Cause a client's leaving during a second attempt in the test of several fleets

A request whose first attempt fails and whose client leaves while the second is out was then forgotten too early. This example causes it: with the order turned round it fails (expected 1 kept, was 0).

--- a/proxy/src/test/java/lemondeal/FleetsTest.java
+++ b/proxy/src/test/java/lemondeal/FleetsTest.java
@@ -88,6 +88,23 @@
     assertFalse(fleets.on(3, new Arrived(request("r1", 1, 3))).stream().anyMatch(action -> action instanceof Send));
   }
 
+  private static Send sent(List<Action> actions) {
+    return (Send) actions.stream().filter(action -> action instanceof Send).findFirst().orElseThrow();
+  }
+
+  /** A client that leaves while its second attempt is out: the end of that attempt is still its module's to hear. */
+  @Example
+  void aRequestIsKeptForAsLongAsAnAttemptOfItIsOut() {
+    Fleets fleets = started();
+    fleets.on(1, list(0, ListKind.FULL, ServerState.READY, "a1", "a2"));
+    Send first = sent(fleets.on(2, new Arrived(request("r", 0, 2))));
+    Send second = sent(fleets.on(3, new Ended("r", 0, first.server(), Outcome.NO_CONNECTION, 1, false, null)));
+    fleets.on(4, new ClientGone("r"));
+    assertEquals(1, fleets.requests());
+    fleets.on(5, new Ended("r", 1, second.server(), Outcome.CANCELLED, 1, true, null));
+    assertEquals(0, fleets.requests());
+  }
+
   /** What stands round the fleets in a test: attempts that are out, wakes to come, and who was answered. */
   private static final class Surroundings {
     private final Fleets fleets = started();
