--- a/proxy/src/main/java/lemondeal/Extras.java
+++ b/proxy/src/main/java/lemondeal/Extras.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import lemondeal.claims.CasClaims;
 import lemondeal.claims.CasStore;
@@ -12,7 +14,8 @@
 import lemondeal.config.ConfigException;
 import lemondeal.config.Limits;
 import lemondeal.config.TlsFiles;
-import lemondeal.consul.ConsulSource;
+import lemondeal.consul.ConsulServices;
+import lemondeal.consul.ConsulSettings;
 import lemondeal.discovery.ListSource;
 import lemondeal.log.EventLog;
 import lemondeal.log.JsonLog;
@@ -31,7 +34,7 @@
   /** Null unless claims are made in a fleet's store. */
   private FleetStore fleet;
   /** Null unless servers are listed by Consul, and until the proxy has made it. */
-  private ConsulSource consul;
+  private ConsulServices consul;
 
   private Extras(Path file, Operator operator) {
     this.file = file;
@@ -97,8 +100,40 @@
 
   /** Where the proxy's servers are listed: Consul where the file names it, else the platform's discovery. */
   ListSource.Maker sources() {
-    return operator.consul() == null ? ListSource.PLATFORM
-        : ConsulSource.maker(operator.consul(), log, made -> consul = made);
+    return operator.consul().isEmpty() ? ListSource.PLATFORM
+        : ConsulServices.maker(settings(operator), log, made -> consul = made);
+  }
+
+  private static List<ConsulSettings> settings(Operator operator) {
+    return operator.consul().stream().map(Operator.ConsulService::settings).toList();
+  }
+
+  /** The module: one for all classes, or one for each service that lists some of them. */
+  Balancer module(Config config) {
+    if (operator.consul().isEmpty() || operator.consul().get(0).classes().isEmpty()) {
+      return new Logic();
+    }
+    List<String> names = config.names().classes();
+    int[] fleetOf = new int[names.size()];
+    Arrays.fill(fleetOf, -1);
+    List<Balancer> modules = new ArrayList<>();
+    for (Operator.ConsulService service : operator.consul()) {
+      for (String name : service.classes()) {
+        if (!names.contains(name)) {
+          throw new ConfigException(file + ": discovery.consul.services: found class '" + name + "'; allowed: "
+              + String.join(", ", names));
+        }
+        fleetOf[names.indexOf(name)] = modules.size();
+      }
+      modules.add(new Logic());
+    }
+    for (int i = 0; i < fleetOf.length; i++) {
+      if (fleetOf[i] < 0) {
+        throw new ConfigException(file + ": discovery.consul.services: class '" + names.get(i)
+            + "' has no service; allowed: each class in one service");
+      }
+    }
+    return new Fleets(modules, fleetOf);
   }
 
   /**
@@ -107,9 +142,9 @@
    */
   void reload() {
     Operator fresh = Operator.read(file);
-    if (consul != null && fresh.consul() != null) {
+    if (consul != null && !fresh.consul().isEmpty()) {
       try {
-        consul.reload(fresh.consul());
+        consul.reload(settings(fresh));
         log.info("consul-reload", "lemondeal: Consul's section, its token and certificates read anew");
       } catch (IOException e) {
         throw new ConfigException(file + ": discovery.consul: " + e.getMessage() + "; what was used before stays");
--- a/proxy/src/main/java/lemondeal/Serve.java
+++ b/proxy/src/main/java/lemondeal/Serve.java
@@ -32,7 +32,7 @@
       }
       EventLog log = extras == null ? new PlainLog(System.err) : extras.log();
       Proxy proxy = extras == null ? new Proxy(config, new Logic(), log, null)
-          : new Proxy(config, new Logic(), log, extras.resumption(), extras.sources());
+          : new Proxy(config, extras.module(config), log, extras.resumption(), extras.sources());
       Reload reload = new Reload(config, environment, proxy::reconfigure, log,
           extras == null ? () -> { } : extras::reload);
       Hangup.handle(reload::request);
--- a/proxy/src/main/java/lemondeal/consul/ConsulClient.java
+++ b/proxy/src/main/java/lemondeal/consul/ConsulClient.java
@@ -1,53 +1,102 @@
 package lemondeal.consul;
 
+import java.io.FilterInputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.net.URI;
 import java.net.URLEncoder;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.security.GeneralSecurityException;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionStage;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
-import java.util.concurrent.Flow;
 import java.util.function.Consumer;
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.SSLParameters;
 import lemondeal.codec.ProtocolException;
 import lemondeal.config.Addresses;
+import lemondeal.membership.Member;
 
 /**
  * Asks Consul's health endpoint over HTTP, with the JDK's client: TLS with the operator's authority and certificate, a
- * token, agents tried in turn. Answers are read and mapped on the client's own thread, so that a list of ten thousand
- * never holds up the proxy's I/O thread; each call ends once, with a {@link Reply}.
+ * token, agents tried in turn. Answers are read and mapped as they come in, on a thread of the client's own, so that a list
+ * of ten thousand neither holds up the proxy's I/O thread nor fills its heap; each call ends once, with a {@link Reply}.
  */
 final class ConsulClient implements AutoCloseable {
   private static final long CONNECT_MILLIS = 2_000;
   /** Beyond the wait: Consul adds up to a sixteenth of it, and the answer has to come over. */
   private static final long SLACK_MILLIS = 3_000;
+  /** A body has as long again: the JDK's client bounds the time until an answer begins, not until it ends. */
+  private static final long BODY_MILLIS = 10_000;
 
   /** How a call ended: an answer of the catalogue's, or why there is none. */
-  record Reply(int status, long index, boolean knownLeader, long lastContact, List<Mapping.Member> members,
+  record Reply(int status, long index, boolean knownLeader, long lastContact, List<Member> members,
       List<String> unusable, String fault, long took) {
     boolean answered() {
       return fault.isEmpty() && status == 200;
     }
+
+    static Reply failed(String why, long took) {
+      return new Reply(0, -1, false, 0, List.of(), List.of(), why, took);
+    }
+  }
+
+  /** A call that is out. */
+  static final class Call {
+    private CompletableFuture<HttpResponse<InputStream>> answer;
+    private InputStream body;
+    private boolean cancelled;
+
+    /** Gives it up, in whichever state it is; a body that is being read ends for its reader. Any thread. */
+    synchronized void cancel() {
+      cancelled = true;
+      if (answer != null) {
+        answer.cancel(true);
+      }
+      closeQuietly(body);
+    }
+
+    private synchronized void sent(CompletableFuture<HttpResponse<InputStream>> out) {
+      answer = out;
+    }
+
+    private synchronized void reading(InputStream open) {
+      body = open;
+      if (cancelled) {
+        closeQuietly(open);
+      }
+    }
+
+    private static void closeQuietly(InputStream open) {
+      try {
+        if (open != null) {
+          open.close();
+        }
+      } catch (IOException e) {
+        // It is given up in any case.
+      }
+    }
   }
 
   private final ConsulSettings settings;
-  private final ExecutorService thread;
+  /** The library's own work; a body is read elsewhere, since reading waits for what these threads bring. */
+  private final ExecutorService library = daemons("consul-http");
+  private final ExecutorService reader = daemons("consul");
   private final HttpClient http;
   private final String token;
   private final HealthAnswer parser;
+  /** Members of the last answer, on the reader's thread: one that is as before is the same object again. */
+  private Map<String, Member> known = Map.of();
 
   /**
    * Reads the token and the certificates now; throws where they can't be used.
@@ -58,12 +107,7 @@
     this.settings = settings;
     token = settings.tokenFile() == null ? "" : Files.readString(settings.tokenFile()).strip();
     parser = new HealthAnswer(settings.mostInstances());
-    thread = Executors.newSingleThreadExecutor(work -> {
-      Thread consul = new Thread(work, "consul");
-      consul.setDaemon(true);
-      return consul;
-    });
-    HttpClient.Builder builder = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).executor(thread)
+    HttpClient.Builder builder = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).executor(library)
         .connectTimeout(Duration.ofMillis(CONNECT_MILLIS)).followRedirects(HttpClient.Redirect.NEVER);
     if (settings.tls() != null) {
       builder.sslContext(sslContext()).sslParameters(sslParameters());
@@ -71,6 +115,14 @@
     http = builder.build();
   }
 
+  private static ExecutorService daemons(String name) {
+    return Executors.newSingleThreadExecutor(work -> {
+      Thread thread = new Thread(work, name);
+      thread.setDaemon(true);
+      return thread;
+    });
+  }
+
   private SSLContext sslContext() throws IOException {
     try {
       return Pem.context(settings.tls());
@@ -86,21 +138,34 @@
     return parameters;
   }
 
+  /** Milliseconds after which a call with this index is to be given up, whatever it is at. */
+  long patience(long index) {
+    return settledWait(index) * 17 / 16 + SLACK_MILLIS + BODY_MILLIS;
+  }
+
+  private long settledWait(long index) {
+    return index > 0 ? settings.waitMillis() : 0;
+  }
+
   /**
-   * Asks the agent with this number; {@code told} hears the reply once, on the client's thread.
+   * Asks the agent with this number; {@code told} hears the reply once, on a thread of this client's, also for a call
+   * that was cancelled.
    *
    * @param index wait for changes after it; 0 for an answer at once
    */
-  CompletableFuture<?> ask(int agent, long index, Consumer<Reply> told) {
+  Call ask(int agent, long index, Consumer<Reply> told) {
     long started = System.nanoTime();
-    long wait = index > 0 ? settings.waitMillis() : 0;
-    HttpRequest request = request(settings.agents().get(agent), index, wait);
-    return http.sendAsync(request, info -> new Bounded(settings.mostBytes()))
-        .handle((response, failure) -> {
-          long took = (System.nanoTime() - started) / 1_000_000;
-          told.accept(failure != null ? failed(describe(failure), took) : read(response, took));
-          return null;
-        });
+    Call call = new Call();
+    CompletableFuture<HttpResponse<InputStream>> answer = http.sendAsync(
+        request(settings.agents().get(agent), index, settledWait(index)), HttpResponse.BodyHandlers.ofInputStream());
+    call.sent(answer);
+    answer.whenCompleteAsync((response, failure) -> told.accept(failure != null ? Reply.failed(describe(failure),
+        since(started)) : read(call, response, started)), reader);
+    return call;
+  }
+
+  private static long since(long started) {
+    return (System.nanoTime() - started) / 1_000_000;
   }
 
   private HttpRequest request(InetSocketAddress agent, long index, long wait) {
@@ -134,31 +199,46 @@
     }
   }
 
-  private Reply read(HttpResponse<byte[]> response, long took) {
-    long index = header(response, "X-Consul-Index", -1);
-    boolean leader = !response.headers().firstValue("X-Consul-KnownLeader").orElse("true").equals("false");
-    long lastContact = header(response, "X-Consul-LastContact", 0);
-    if (response.statusCode() != 200) {
-      return new Reply(response.statusCode(), index, leader, lastContact, List.of(), List.of(),
-          "status " + response.statusCode(), took);
-    }
-    if (index < 0) {
-      return failed("an answer without X-Consul-Index", took);
-    }
-    try {
-      List<Mapping.Member> members = new ArrayList<>();
+  private Reply read(Call call, HttpResponse<InputStream> response, long started) {
+    try (InputStream body = new BoundedStream(response.body(), settings.mostBytes())) {
+      call.reading(body);
+      long index = header(response, "X-Consul-Index", -1);
+      boolean leader = !response.headers().firstValue("X-Consul-KnownLeader").orElse("true").equals("false");
+      long lastContact = header(response, "X-Consul-LastContact", 0);
+      if (response.statusCode() != 200) {
+        return new Reply(response.statusCode(), index, leader, lastContact, List.of(), List.of(),
+            "status " + response.statusCode(), since(started));
+      }
+      if (index < 0) {
+        return Reply.failed("an answer without X-Consul-Index", since(started));
+      }
+      List<Member> members = new ArrayList<>(known.size());
       List<String> unusable = new ArrayList<>();
-      for (CatalogEntry entry : parser.read(response.body())) {
+      parser.read(body, entry -> {
         try {
-          members.add(settings.mapping().member(entry));
+          members.add(asBefore(settings.mapping().member(entry)));
         } catch (Mapping.Unusable e) {
           unusable.add(e.getMessage());
         }
-      }
-      return new Reply(200, index, leader, lastContact, members, unusable, "", took);
-    } catch (ProtocolException e) {
-      return failed(e.getMessage(), took);
+      });
+      remember(members);
+      return new Reply(200, index, leader, lastContact, members, unusable, "", since(started));
+    } catch (ProtocolException | IOException e) {
+      return Reply.failed(e.getMessage(), since(started));
+    }
+  }
+
+  private Member asBefore(Member member) {
+    Member before = known.get(member.id());
+    return member.equals(before) ? before : member;
+  }
+
+  private void remember(List<Member> members) {
+    Map<String, Member> fresh = new HashMap<>(members.size() * 2);
+    for (Member member : members) {
+      fresh.putIfAbsent(member.id(), member);
     }
+    known = fresh;
   }
 
   private static long header(HttpResponse<?> response, String name, long absent) {
@@ -170,71 +250,47 @@
     }
   }
 
-  private static Reply failed(String why, long took) {
-    return new Reply(0, -1, false, 0, List.of(), List.of(), why, took);
-  }
-
   private static String describe(Throwable failure) {
     Throwable cause = failure.getCause() != null ? failure.getCause() : failure;
     return cause.getClass().getSimpleName() + (cause.getMessage() == null ? "" : ": " + cause.getMessage());
   }
 
+  /** Ends the threads; calls that are out are to be cancelled before. */
   @Override
   public void close() {
-    thread.shutdownNow();
+    library.shutdownNow();
+    reader.shutdownNow();
   }
 
-  /** Takes a body up to a bound, and refuses the rest: an answer comes from outside. */
-  private static final class Bounded implements HttpResponse.BodySubscriber<byte[]> {
+  /** Reads up to a bound and refuses the rest: an answer comes from outside. */
+  private static final class BoundedStream extends FilterInputStream {
     private final long most;
-    private final CompletableFuture<byte[]> body = new CompletableFuture<>();
-    private final List<ByteBuffer> parts = new ArrayList<>();
-    private Flow.Subscription subscription;
     private long size;
 
-    Bounded(long most) {
+    BoundedStream(InputStream in, long most) {
+      super(in);
       this.most = most;
     }
 
     @Override
-    public CompletionStage<byte[]> getBody() {
-      return body;
+    public int read() throws IOException {
+      int value = super.read();
+      count(value < 0 ? 0 : 1);
+      return value;
     }
 
     @Override
-    public void onSubscribe(Flow.Subscription taken) {
-      subscription = taken;
-      taken.request(Long.MAX_VALUE);
+    public int read(byte[] bytes, int from, int length) throws IOException {
+      int got = super.read(bytes, from, length);
+      count(Math.max(0, got));
+      return got;
     }
 
-    @Override
-    public void onNext(List<ByteBuffer> items) {
-      for (ByteBuffer item : items) {
-        size += item.remaining();
-        parts.add(item);
-      }
+    private void count(int more) throws IOException {
+      size += more;
       if (size > most) {
-        subscription.cancel();
-        parts.clear();
-        body.completeExceptionally(new IOException("an answer of more than " + most + " bytes"));
-      }
-    }
-
-    @Override
-    public void onError(Throwable failure) {
-      body.completeExceptionally(failure);
-    }
-
-    @Override
-    public void onComplete() {
-      byte[] all = new byte[(int) size];
-      int at = 0;
-      for (ByteBuffer part : parts) {
-        int length = part.remaining();
-        part.get(all, at, length);
-        at += length;
+        throw new IOException("an answer of more than " + most + " bytes");
       }
-      body.complete(all);
     }
   }
 }
--- a/proxy/src/main/java/lemondeal/consul/ConsulSettings.java
+++ b/proxy/src/main/java/lemondeal/consul/ConsulSettings.java
@@ -7,6 +7,7 @@
 import lemondeal.membership.AskPace;
 import lemondeal.membership.Damping;
 import lemondeal.membership.ListGuard;
+import lemondeal.saved.ListFile;
 
 /**
  * Where Consul is and what to ask it, from the section {@code discovery.consul} of the operator's file, checked.
@@ -24,11 +25,19 @@
  * @param tls null for plain HTTP
  * @param mostInstances in one answer; one with more is not believed
  * @param mostBytes of one answer
+ * @param saved where the last good list is kept for a start while Consul is away; null for nowhere
  */
 public record ConsulSettings(List<InetSocketAddress> agents, String service, String datacenter, String namespace,
     String partition, Consistency consistency, String near, String filter, long waitMillis, Path tokenFile,
     TlsFiles tls, Mapping mapping, Damping.Settings damping, ListGuard.Settings guard, AskPace.Settings pace,
-    int mostInstances, long mostBytes) {
+    int mostInstances, long mostBytes, ListFile.Settings saved) {
+
+  /** Which list it is, for a saved one: the same for settings that list the same instances. */
+  String source() {
+    return "consul " + service + (datacenter.isEmpty() ? "" : " dc=" + datacenter)
+        + (namespace.isEmpty() ? "" : " ns=" + namespace) + (partition.isEmpty() ? "" : " partition=" + partition)
+        + (filter.isEmpty() ? "" : " filter=" + filter);
+  }
 
   /** Consul's modes of consistency. */
   public enum Consistency {
--- a/proxy/src/main/java/lemondeal/consul/ConsulSource.java
+++ b/proxy/src/main/java/lemondeal/consul/ConsulSource.java
@@ -7,8 +7,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import lemondeal.Balancer.ListKind;
 import lemondeal.Balancer.ServerEntry;
 import lemondeal.Balancer.ServerList;
 import lemondeal.Balancer.ServerState;
@@ -18,77 +18,84 @@
 import lemondeal.discovery.ListSource;
 import lemondeal.log.EventLog;
 import lemondeal.membership.AskPace;
-import lemondeal.membership.Damping;
-import lemondeal.membership.Health;
 import lemondeal.membership.ListGuard;
+import lemondeal.membership.Member;
+import lemondeal.membership.Roster;
 import lemondeal.net.Net;
 import lemondeal.net.Timers;
+import lemondeal.saved.ListFile;
 
 /**
- * Servers from Consul's health endpoint, followed with blocking queries while the module wants a watch. On the I/O
- * thread, but for what {@link ConsulClient} does on its own. Every answer passes {@link ListGuard}, every instance
- * {@link Damping}, and the module is told whole lists: a failing check is a drain, a deregistered instance is gone.
- * Where Consul is away the list held stays, and the proxy's own probes carry on.
+ * Servers of one service from Consul's health endpoint, followed with blocking queries while the module wants a watch.
+ * On the I/O thread, but for what {@link ConsulClient} and {@link ListFile} do on their own. Every answer passes
+ * {@link ListGuard}, every instance the {@link Roster}'s damping, and the module is told a whole list at first, then what
+ * changes: a failing check is a drain, a deregistered instance is gone. Where Consul is away the list held stays, and the
+ * proxy's own probes carry on.
  */
 public final class ConsulSource implements ListSource {
   private static final long MILLI = 1_000;
   /** A log line of one kind at most so often: a hundred proxies in trouble must not flood their logs. */
   private static final long TELL_EVERY_MILLIS = 10_000;
 
-  /** What is held of one instance. */
-  private record Held(Mapping.Member member, Damping.State state, long startedAt) {}
-
   private final Net net;
   private final Timers timers;
   private final HostGroup group;
   private final Consumer<ServerList> told;
   private final EventLog log;
+  private final int fleet;
   private final SplittableRandom random;
   private final Map<String, Long> toldAt = new HashMap<>();
+  private final Roster roster;
+  /** Null where the list is not kept on disk. */
+  private final ListFile file;
   private ConsulSettings settings;
   private ConsulClient client;
-  private Map<String, Held> held = new HashMap<>();
-  private List<Mapping.Member> lastTaken = List.of();
   private long index;
   private long keptSince;
   private long version;
+  private boolean listed;
+  /** The operator named another list: that none of those held is in it says nothing against it. */
+  private boolean otherList;
   private int agent;
   private int failures;
   private boolean watching;
-  private CompletableFuture<?> out;
+  /** Null while none is out. */
+  private ConsulClient.Call out;
+  private Timers.Timer patience;
   private Timers.Timer next;
   private Timers.Timer recheck;
   private Timers.Timer confirm;
-  /** Grows with each change of settings: a reply to a call of before is not heard. */
+  /** Grows with each call given up and each change of settings: a reply to a call of before is not heard. */
   private int epoch;
 
   /**
+   * @param fleet the source's place among those that list servers for classes of their own
    * @param seed for the draws of pauses: proxies turned away together come back apart
    * @throws IOException where the token or the certificates can't be read
    */
   public ConsulSource(Net net, Timers timers, HostGroup group, Consumer<ServerList> told, ConsulSettings settings,
-      EventLog log, long seed) throws IOException {
+      EventLog log, int fleet, long seed) throws IOException {
     this.net = net;
     this.timers = timers;
     this.group = group;
     this.told = told;
     this.settings = settings;
     this.log = log;
-    random = new SplittableRandom(seed);
+    this.fleet = fleet;
+    random = new SplittableRandom(seed + fleet);
+    roster = new Roster(settings.damping());
     client = new ConsulClient(settings);
+    file = settings.saved() == null ? null
+        : new ListFile(settings.saved(), System::currentTimeMillis, log);
   }
 
-  /** A maker for {@link lemondeal.proxy.Proxy}; the settings are checked, the files read when the proxy is made. */
-  public static ListSource.Maker maker(ConsulSettings settings, EventLog log, Consumer<ConsulSource> made) {
-    return (net, timers, limits, config, group, told) -> {
-      try {
-        ConsulSource source = new ConsulSource(net, timers, group, told, settings, log, config.seed());
-        made.accept(source);
-        return source;
-      } catch (IOException e) {
-        throw new lemondeal.config.ConfigException("discovery.consul: " + e.getMessage());
-      }
-    };
+  /** The list on disk where there is one: the guard holds the first answers to it, too. */
+  @Override
+  public List<ServerList> saved() {
+    List<Member> members = file == null ? List.of() : file.read(settings.source());
+    List<Roster.Place> places = members.isEmpty() ? List.of()
+        : roster.take(members, System.currentTimeMillis()).changed();
+    return List.of(list(ListKind.SAVED, places, List.of()));
   }
 
   @Override
@@ -111,7 +118,7 @@
     }
   }
 
-  /** The platform's configuration names no Consul: what changes is in the operator's file, taken by {@link #use}. */
+  /** The platform's configuration names no Consul: what changes is in the operator's file, taken by {@link #reload}. */
   @Override
   public void reconfigure(Config fresh) {
     // Nothing of the platform's configuration is Consul's.
@@ -129,44 +136,53 @@
   }
 
   private void use(ConsulSettings fresh, ConsulClient made) {
-    ConsulClient before = client;
-    boolean otherService = !fresh.service().equals(settings.service())
-        || !fresh.datacenter().equals(settings.datacenter()) || !fresh.filter().equals(settings.filter());
+    otherList |= !fresh.source().equals(settings.source());
+    cancel();
+    client.close();
     settings = fresh;
     client = made;
-    before.close();
+    roster.use(fresh.damping());
     agent = 0;
     failures = 0;
-    if (otherService) {
-      index = 0;
-    }
-    cancel();
+    // An answer at once: the mapping may be another one, and the service, too.
+    index = 0;
     if (watching) {
       ask();
     }
   }
 
   private void cancel() {
+    giveUp();
+    Timers.cancel(next);
+    next = null;
+  }
+
+  private void giveUp() {
     epoch++;
+    Timers.cancel(patience);
+    patience = null;
     if (out != null) {
-      out.cancel(true);
+      out.cancel();
       out = null;
     }
-    if (next != null) {
-      next.cancel();
-      next = null;
-    }
   }
 
   private void ask() {
     next = null;
-    int asked = epoch;
-    out = client.ask(agent, watching ? index : 0, reply -> net.later(() -> {
+    int asked = ++epoch;
+    long from = watching ? index : 0;
+    long most = client.patience(from);
+    out = client.ask(agent, from, reply -> net.later(() -> {
       if (asked == epoch) {
         out = null;
+        Timers.cancel(patience);
         heard(reply);
       }
     }));
+    patience = timers.after(most * MILLI, () -> {
+      giveUp();
+      heard(ConsulClient.Reply.failed("no whole answer in " + most + " ms", most));
+    });
   }
 
   private void heard(ConsulClient.Reply reply) {
@@ -182,30 +198,48 @@
     long now = System.currentTimeMillis();
     ListGuard.Verdict verdict = ListGuard.judge(new ListGuard.Answer(reply.index(), reply.knownLeader(),
         reply.lastContact(), settings.consistency() == ConsulSettings.Consistency.STALE, reply.members().size(),
-        lost(reply.members())), new ListGuard.Held(index, serving(), keptSince), now, settings.guard());
+        otherList ? 0 : roster.lost(reply.members())), new ListGuard.Held(index, roster.serving(), keptSince), now, settings.guard());
     if (verdict instanceof ListGuard.Take take) {
-      // A blocking query that returns with nothing changed, as after its wait, says nothing new.
-      boolean same = reply.index() == index && index > 0 && keptSince == 0;
-      keptSince = 0;
-      Timers.cancel(confirm);
-      confirm = null;
-      index = take.from();
-      if (!same) {
-        lastTaken = reply.members();
-        take(reply.members(), now);
-      }
-      again(AskPace.pause(AskPace.Ended.ANSWERED, 0, reply.took(), random.nextDouble(), settings.pace()));
+      taken(reply, take, now);
     } else if (verdict instanceof ListGuard.Keep keep) {
-      tell("consul-kept", keep.why().replaceAll("[0-9]", ""), "lemondeal: Consul's answer is not believed ("
-          + keep.why() + "); the list held stays", "why", keep.why());
-      index = keep.from();
-      if (keep.bySize() && keptSince == 0) {
-        keptSince = now;
-        confirm = timers.after(settings.guard().confirmAfter() * MILLI, this::confirm);
+      kept(reply, keep, now);
+    }
+  }
+
+  private void taken(ConsulClient.Reply reply, ListGuard.Take take, long now) {
+    // A blocking query that returns with nothing changed, as after its wait, says nothing new.
+    boolean same = reply.index() == index && index > 0 && keptSince == 0 && listed;
+    keptSince = 0;
+    otherList = false;
+    Timers.cancel(confirm);
+    confirm = null;
+    index = take.from();
+    if (!same) {
+      Roster.Change change = roster.take(reply.members(), now);
+      if (!listed) {
+        listed = true;
+        told.accept(list(ListKind.FULL, roster.places(), List.of()));
+      } else {
+        tell(change);
+      }
+      if (file != null) {
+        file.save(settings.source(), reply.members());
       }
-      again(keep.bySize() ? AskPace.pause(AskPace.Ended.ANSWERED, 0, reply.took(), random.nextDouble(), settings.pace())
-          : AskPace.pause(AskPace.Ended.FAILED, failures++, reply.took(), random.nextDouble(), settings.pace()));
+      recheckAt(now);
     }
+    again(AskPace.pause(AskPace.Ended.ANSWERED, 0, reply.took(), random.nextDouble(), settings.pace()));
+  }
+
+  private void kept(ConsulClient.Reply reply, ListGuard.Keep keep, long now) {
+    tell("consul-kept", keep.why().replaceAll("[0-9]", ""), "lemondeal: Consul's answer is not believed ("
+        + keep.why() + "); the list held stays", "why", keep.why());
+    index = keep.from();
+    if (keep.bySize() && keptSince == 0) {
+      keptSince = now;
+      confirm = timers.after(settings.guard().confirmAfter() * MILLI, this::confirm);
+    }
+    again(keep.bySize() ? AskPace.pause(AskPace.Ended.ANSWERED, 0, reply.took(), random.nextDouble(), settings.pace())
+        : AskPace.pause(AskPace.Ended.FAILED, failures++, reply.took(), random.nextDouble(), settings.pace()));
   }
 
   /** An answer kept for its size is asked for once more, at once: if it stands, it is believed. */
@@ -242,74 +276,38 @@
     }
   }
 
-  /** Instances held that serve and are missing from the answer or fail in it. */
-  private int lost(List<Mapping.Member> members) {
-    Map<String, Health> seen = new HashMap<>();
-    for (Mapping.Member member : members) {
-      seen.put(member.id(), member.health());
-    }
-    int lost = 0;
-    for (Held one : held.values()) {
-      Health now = seen.get(one.member().id());
-      if (one.state().serves() && (now == null || !now.serves())) {
-        lost++;
-      }
+  private void tell(Roster.Change change) {
+    if (!change.isEmpty()) {
+      told.accept(list(ListKind.CHANGES, change.changed(), change.gone()));
     }
-    return lost;
   }
 
-  private int serving() {
-    int serving = 0;
-    for (Held one : held.values()) {
-      serving += one.state().serves() ? 1 : 0;
-    }
-    return serving;
-  }
-
-  /** Believes a list: every instance through damping, and the module told the whole of it. */
-  private void take(List<Mapping.Member> members, long now) {
-    Map<String, Held> fresh = new HashMap<>();
-    List<ServerEntry> entries = new ArrayList<>(members.size());
-    Map<String, InetSocketAddress> addresses = new HashMap<>();
-    long wake = Long.MAX_VALUE;
-    boolean first = held.isEmpty() && version == 0;
-    for (Mapping.Member member : members) {
-      if (fresh.containsKey(member.id())) {
-        continue;
-      }
-      Held before = held.get(member.id());
-      Damping.State state = before == null ? Damping.State.first(member.health(), now)
-          : Damping.next(before.state(), member.health(), now, settings.damping());
-      // Registered anew: a restart, and so a cold server. What was there at the first answer started long ago.
-      long startedAt = before != null && before.member().createIndex() == member.createIndex() ? before.startedAt()
-          : first ? 0 : now * MILLI;
-      fresh.put(member.id(), new Held(member, state, startedAt));
-      if (!state.serves() && member.health().serves()) {
-        wake = Math.min(wake, Damping.servesAgainAt(state, settings.damping()));
-      }
-      int weight = member.health() == Health.WARNING ? member.warningWeight() : member.passingWeight();
-      ServerState serverState = state.serves() && weight > 0 ? ServerState.READY : ServerState.DRAINING;
+  private ServerList list(ListKind kind, List<Roster.Place> places, List<String> gone) {
+    List<ServerEntry> entries = new ArrayList<>(places.size() + gone.size());
+    Map<String, InetSocketAddress> addresses = new HashMap<>(places.size() * 2);
+    for (Roster.Place place : places) {
+      Member member = place.member();
       entries.add(new ServerEntry(member.id(), group.zone(member.zone()), member.cell(), group.model(member.model()),
-          startedAt, serverState, Math.max(weight, 1)));
+          place.startedAt() * MILLI, place.serves() ? ServerState.READY : ServerState.DRAINING, place.weight()));
       addresses.put(member.id(), member.address());
     }
-    held = fresh;
-    told.accept(group.replace(++version, entries, addresses));
-    recheckAt(wake, now);
+    for (String id : gone) {
+      entries.add(new ServerEntry(id, 0, 0, 0, 0, ServerState.GONE, 1));
+    }
+    return group.tell(++version, kind, entries, addresses, fleet);
   }
 
   /** A drained instance that stays well serves again after its quiet time, though Consul has nothing new to say. */
-  private void recheckAt(long wake, long now) {
-    if (recheck != null) {
-      recheck.cancel();
-      recheck = null;
-    }
-    if (wake != Long.MAX_VALUE) {
-      recheck = timers.after(Math.max(1, wake - now) * MILLI, () -> {
-        recheck = null;
-        take(lastTaken, System.currentTimeMillis());
-      });
-    }
+  private void recheckAt(long now) {
+    Timers.cancel(recheck);
+    recheck = roster.wakeAt() == Long.MAX_VALUE ? null
+        : timers.after(Math.max(1, roster.wakeAt() - now) * MILLI, this::recheck);
+  }
+
+  private void recheck() {
+    long now = System.currentTimeMillis();
+    tell(roster.recheck(now));
+    recheckAt(now);
   }
 
   /** Tells an event, at most once in a while for each kind of it: {@code kind} tells kinds of one event apart. */
@@ -322,12 +320,15 @@
     }
   }
 
-  /** Ends the calls and the client's thread. */
+  /** Ends the calls, the timers and the threads; what is to be saved is saved. On any thread, at the end. */
   public void close() {
     watching = false;
     cancel();
     Timers.cancel(confirm);
     Timers.cancel(recheck);
     client.close();
+    if (file != null) {
+      file.close();
+    }
   }
 }
--- a/proxy/src/main/java/lemondeal/consul/HealthAnswer.java
+++ b/proxy/src/main/java/lemondeal/consul/HealthAnswer.java
@@ -6,10 +6,12 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import java.io.IOException;
+import java.io.InputStream;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Consumer;
 import lemondeal.codec.ProtocolException;
 
 /**
@@ -31,26 +33,28 @@
         .maxNestingDepth(DEPTH).maxStringLength(STRING).maxNumberLength(32).build()).build();
   }
 
-  /** The entries in the order of the answer; throws where the body is not such an answer. */
-  public List<CatalogEntry> read(byte[] body) throws ProtocolException {
+  /**
+   * Hands over the entries in the order of the answer, each as soon as it is read: ten thousand at once would be held
+   * beside those of before. Throws where the body is not such an answer, possibly after some entries.
+   *
+   * @throws IOException where the body can't be read on
+   */
+  public void read(InputStream body, Consumer<CatalogEntry> each) throws ProtocolException, IOException {
     try (JsonParser in = factory.createParser(body)) {
       expect(in.nextToken(), JsonToken.START_ARRAY, "the answer");
-      List<CatalogEntry> entries = new ArrayList<>();
+      int count = 0;
       while (in.nextToken() == JsonToken.START_OBJECT) {
-        if (entries.size() == most) {
+        if (count++ == most) {
           throw new ProtocolException("more than " + most + " instances");
         }
-        entries.add(entry(in));
+        each.accept(entry(in));
       }
       expect(in.currentToken(), JsonToken.END_ARRAY, "the answer");
       if (in.nextToken() != null) {
         throw new ProtocolException("something follows the answer");
       }
-      return entries;
     } catch (JsonProcessingException e) {
       throw new ProtocolException("not JSON: " + e.getOriginalMessage());
-    } catch (IOException e) {
-      throw new ProtocolException("cannot read the answer: " + e.getMessage());
     }
   }
 
--- a/proxy/src/main/java/lemondeal/consul/Mapping.java
+++ b/proxy/src/main/java/lemondeal/consul/Mapping.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import lemondeal.config.Addresses;
 import lemondeal.membership.Health;
+import lemondeal.membership.Member;
 
 /**
  * How the operator's file says that Consul's instances become servers: where the address, the zone, the model and the
@@ -35,17 +36,6 @@
   /** The mapping where the operator's file names none. */
   public static final Mapping DEFAULT = new Mapping(AddressFrom.SERVICE, null, null, null, null);
 
-  /**
-   * One instance as the proxy has it.
-   *
-   * @param id node and service id together: a service id is unique on its node alone
-   * @param zone the zone's name, empty where none is mapped or given
-   * @param model the model's name, empty where none is
-   * @param cell 0 where none is
-   */
-  public record Member(String id, String zone, String model, int cell, InetSocketAddress address, Health health,
-      int passingWeight, int warningWeight, long createIndex) {}
-
   /** Thrown for an entry that can't be used; the others are taken. */
   public static final class Unusable extends Exception {
     private static final long serialVersionUID = 1L;
--- a/proxy/src/main/java/lemondeal/consul/Pem.java
+++ b/proxy/src/main/java/lemondeal/consul/Pem.java
@@ -34,13 +34,13 @@
  * certificate with its key where the server asks for one. The server's name is checked by a trust of the program's own,
  * since the JDK's HTTP client checks the host of the address, and agents are reached by address where there is no DNS.
  */
-final class Pem {
+public final class Pem {
   private static final char[] NO_PASSWORD = new char[0];
 
   private Pem() {}
 
   /** A context that trusts the authority alone and shows the certificate where there is one. */
-  static SSLContext context(TlsFiles files) throws IOException, GeneralSecurityException {
+  public static SSLContext context(TlsFiles files) throws IOException, GeneralSecurityException {
     SSLContext context = SSLContext.getInstance("TLS");
     KeyManagerFactory keys = null;
     if (files.certificate() != null) {
@@ -75,6 +75,8 @@
     try (InputStream in = Files.newInputStream(file)) {
       Collection<? extends Certificate> all = CertificateFactory.getInstance("X.509").generateCertificates(in);
       return List.copyOf(all);
+    } catch (CertificateException e) {
+      throw new CertificateException(file + " holds no certificate that can be read: " + e.getMessage(), e);
     }
   }
 
@@ -99,7 +101,8 @@
 
   /**
    * The authority's word on the chain, and then the name of the operator's file or, where it names none, the address that
-   * was dialled: among the certificate's alternative names, as HTTPS would check them.
+   * was dialled: among the certificate's alternative names, as HTTPS would check them. A client's certificate, where this
+   * side serves, has the authority's word alone.
    */
   static final class NameCheck extends X509ExtendedTrustManager {
     private final X509TrustManager authority;
@@ -170,17 +173,17 @@
 
     @Override
     public void checkClientTrusted(X509Certificate[] chain, String type, SSLEngine engine) throws CertificateException {
-      throw new CertificateException("a client's certificate is never checked here");
+      authority.checkClientTrusted(chain, type);
     }
 
     @Override
     public void checkClientTrusted(X509Certificate[] chain, String type, Socket socket) throws CertificateException {
-      throw new CertificateException("a client's certificate is never checked here");
+      authority.checkClientTrusted(chain, type);
     }
 
     @Override
     public void checkClientTrusted(X509Certificate[] chain, String type) throws CertificateException {
-      throw new CertificateException("a client's certificate is never checked here");
+      authority.checkClientTrusted(chain, type);
     }
 
     @Override
--- a/proxy/src/main/java/lemondeal/discovery/Discovery.java
+++ b/proxy/src/main/java/lemondeal/discovery/Discovery.java
@@ -22,21 +22,29 @@
   private final Limits limits;
   private final HostGroup group;
   private final Consumer<ServerList> told;
+  private final Config atStart;
   private final List<Call> fetches = new ArrayList<>();
   private InetSocketAddress address;
   private Call watch;
   private boolean wanted;
 
-  public Discovery(Net net, Timers timers, Limits limits, InetSocketAddress address, HostGroup group,
+  public Discovery(Net net, Timers timers, Limits limits, Config config, HostGroup group,
       Consumer<ServerList> told) {
     this.net = net;
     this.timers = timers;
     this.limits = limits;
-    this.address = address;
+    atStart = config;
+    address = config.discovery();
     this.group = group;
     this.told = told;
   }
 
+  /** The list in the configuration. */
+  @Override
+  public List<ServerList> saved() throws ProtocolException {
+    return List.of(group.saved(atStart.known()));
+  }
+
   /** Asks discovery where the configuration now says it is. */
   @Override
   public void reconfigure(Config fresh) {
--- a/proxy/src/main/java/lemondeal/discovery/HostGroup.java
+++ b/proxy/src/main/java/lemondeal/discovery/HostGroup.java
@@ -42,16 +42,23 @@
   }
 
   /**
-   * Takes in a whole list of another source than the platform's: every server with its address, none that is gone.
+   * Takes in what another source than the platform's tells: addresses of entries that are new or changed, none of those
+   * that are {@link ServerState#GONE}. Other sources' servers are left as they are.
    *
    * @param version grows with each list of the source
-   * @param addresses of each entry's server
+   * @param addresses of each entry's server that is not gone
+   * @param fleet the source's place among those that list servers for classes of their own
    */
-  public ServerList replace(long version, List<ServerEntry> entries, Map<String, InetSocketAddress> addresses) {
+  public ServerList tell(long version, ListKind kind, List<ServerEntry> entries,
+      Map<String, InetSocketAddress> addresses, int fleet) {
     generation = version;
-    this.addresses.clear();
+    for (ServerEntry entry : entries) {
+      if (entry.state() == ServerState.GONE) {
+        this.addresses.remove(entry.server());
+      }
+    }
     this.addresses.putAll(addresses);
-    return new ServerList(version, ListKind.FULL, List.copyOf(entries));
+    return new ServerList(version, kind, List.copyOf(entries), fleet);
   }
 
   /** The place of a zone's name in the settings' list; names that the settings lack come after them all. */
--- a/proxy/src/main/java/lemondeal/discovery/ListSource.java
+++ b/proxy/src/main/java/lemondeal/discovery/ListSource.java
@@ -1,7 +1,9 @@
 package lemondeal.discovery;
 
+import java.util.List;
 import java.util.function.Consumer;
 import lemondeal.Balancer.ServerList;
+import lemondeal.codec.ProtocolException;
 import lemondeal.config.Config;
 import lemondeal.config.Limits;
 import lemondeal.net.Net;
@@ -24,7 +26,15 @@
 
   /** The platform's discovery at the address that the configuration names. */
   Maker PLATFORM = (net, timers, limits, config, group, told) ->
-      new Discovery(net, timers, limits, config.discovery(), group, told);
+      new Discovery(net, timers, limits, config, group, told);
+
+  /**
+   * The lists as they stood before this start, possibly old: what the module knows until the source tells better. Asked
+   * for once, before anything else; one for each fleet.
+   *
+   * @throws ProtocolException where the platform's configuration holds no such list
+   */
+  List<ServerList> saved() throws ProtocolException;
 
   /** Begins a watch in place of any other, or ends it. */
   void watch(boolean on);
--- a/proxy/src/main/java/lemondeal/operator/ConsulSection.java
+++ b/proxy/src/main/java/lemondeal/operator/ConsulSection.java
@@ -4,15 +4,20 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
 import java.util.function.Consumer;
 import lemondeal.config.Addresses;
 import lemondeal.consul.ConsulSettings;
 import lemondeal.consul.Mapping;
+import lemondeal.consul.filter.FilterException;
+import lemondeal.consul.filter.Filters;
 import lemondeal.membership.AskPace;
 import lemondeal.membership.Damping;
 import lemondeal.membership.ListGuard;
+import lemondeal.saved.ListFile;
 
 /** The section {@code discovery.consul}: what the schema can't say is checked here, and all of it becomes settings. */
 final class ConsulSection {
@@ -23,6 +28,9 @@
   private static final int MOST_INSTANCES = 100_000;
   private static final long MOST_BYTES = 64L << 20;
 
+  private static final long SAVED_MOST_AGE = 24 * 3_600_000L;
+  private static final long SAVED_EVERY = 5_000;
+
   private final JsonNode node;
   private final Path file;
   private final Consumer<String> fault;
@@ -33,17 +41,66 @@
     this.fault = fault;
   }
 
-  ConsulSettings settings() {
+  /** One for each service that the section names. */
+  List<Operator.ConsulService> services() {
+    if (node.has("service") == node.has("services")) {
+      fault.accept(PATH + ": found " + (node.has("service") ? "service and services" : "no service")
+          + "; allowed: service, or services with the classes of each");
+      return List.of();
+    }
+    if (node.has("service")) {
+      return List.of(new Operator.ConsulService(settings(node.get("service").asText(), text("filter"), false), List.of()));
+    }
+    List<Operator.ConsulService> services = new ArrayList<>();
+    Set<String> seen = new HashSet<>();
+    for (JsonNode one : node.get("services")) {
+      List<String> classes = new ArrayList<>();
+      one.get("classes").forEach(name -> classes.add(name.asText()));
+      for (String name : classes) {
+        if (!seen.add("class " + name)) {
+          fault.accept(PATH + ".services: class '" + name + "' stands twice; allowed: each class once");
+        }
+      }
+      String service = one.get("service").asText();
+      if (!seen.add("service " + service)) {
+        // A server's id is its node and service id: two sources must not list the same.
+        fault.accept(PATH + ".services: service '" + service + "' stands twice; allowed: each service once");
+      }
+      services.add(new Operator.ConsulService(settings(service, one.path("filter").asText(text("filter")), true), classes));
+    }
+    return services;
+  }
+
+  private ConsulSettings settings(String service, String filter, boolean several) {
     long wait = millis(node, PATH, "wait", WAIT_MILLIS);
     if (wait > WAIT_MOST) {
       fault.accept(PATH + ".wait: found " + node.get("wait").asText() + "; allowed: 1ms to 10m");
     }
-    return new ConsulSettings(agents(), node.get("service").asText(), text("datacenter"), text("namespace"),
-        text("partition"), ConsulSettings.Consistency.valueOf(text("consistency").isEmpty() ? "DEFAULT"
-            : text("consistency").toUpperCase(Locale.ROOT)), text("near"), text("filter"), wait,
+    checkFilter(filter);
+    return new ConsulSettings(agents(), service, text("datacenter"), text("namespace"), text("partition"),
+        ConsulSettings.Consistency.valueOf(text("consistency").isEmpty() ? "DEFAULT"
+            : text("consistency").toUpperCase(Locale.ROOT)), text("near"), filter, wait,
         node.has("token_file") ? Tls.near(file, node.get("token_file").asText()) : null,
         node.has("tls") ? Tls.read(node.get("tls"), file, PATH + ".tls", fault) : null, mapping(), damping(), guard(),
-        pace(), node.path("most_instances").asInt(MOST_INSTANCES), node.path("most_bytes").asLong(MOST_BYTES));
+        pace(), node.path("most_instances").asInt(MOST_INSTANCES), node.path("most_bytes").asLong(MOST_BYTES),
+        saved(several ? "." + service : ""));
+  }
+
+  /** What Consul would refuse with each call is refused here, at the start, with its place. */
+  private void checkFilter(String filter) {
+    if (!filter.isEmpty()) {
+      try {
+        Filters.check(Filters.parse(filter));
+      } catch (FilterException e) {
+        fault.accept(PATH + ".filter: " + e.getMessage());
+      }
+    }
+  }
+
+  private ListFile.Settings saved(String suffix) {
+    JsonNode saved = node.path("saved");
+    return saved.isMissingNode() ? null : new ListFile.Settings(Tls.near(file, saved.get("file").asText() + suffix),
+        millis(saved, PATH + ".saved", "most_age", SAVED_MOST_AGE), millis(saved, PATH + ".saved", "every", SAVED_EVERY));
   }
 
   private List<InetSocketAddress> agents() {
--- a/proxy/src/main/java/lemondeal/operator/Operator.java
+++ b/proxy/src/main/java/lemondeal/operator/Operator.java
@@ -17,18 +17,25 @@
  *
  * @param jsonLog whether the log is one JSON object a line
  * @param ringsMb megabytes that ring buffers may take at most; 0 where the platform's bound holds
- * @param consul null where the servers are not listed by Consul
+ * @param consul the services that list the servers in Consul; empty where they are not listed there
  * @param resume null where no client can resume
  */
-public record Operator(boolean jsonLog, int ringsMb, ConsulSettings consul, Resume resume) {
+public record Operator(boolean jsonLog, int ringsMb, List<ConsulService> consul, Resume resume) {
   /** What an installation without such a file has. */
-  public static final Operator NONE = new Operator(false, 0, null, null);
+  public static final Operator NONE = new Operator(false, 0, List.of(), null);
 
   private static final long SECOND = 1000;
   private static final int WINDOW = 256;
   private static final int MOST = 10_000;
   private static final int MOST_CLAIMS = 100_000;
 
+  /**
+   * One service of Consul's.
+   *
+   * @param classes whose servers it lists; empty where it lists those of all classes
+   */
+  public record ConsulService(ConsulSettings settings, List<String> classes) {}
+
   /** Where claims are made. */
   public enum ClaimsIn { MEMORY, DISK, FLEET }
 
@@ -51,7 +58,7 @@
     Operator operator = new Operator(root.path("log").path("format").asText("plain").equals("json"),
         root.path("limits").path("rings_mb").asInt(0),
         root.path("discovery").has("consul") ? new ConsulSection(root.path("discovery").get("consul"), file,
-            what -> faults.add(new Fault(file.toString(), 0, 0, what))).settings() : null,
+            what -> faults.add(new Fault(file.toString(), 0, 0, what))).services() : List.of(),
         root.has("resume") ? new Section(file, root.get("resume"), faults).resume() : null);
     if (!faults.isEmpty()) {
       throw new FileFaults(faults);
--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -119,7 +119,7 @@
         secondAddress.resume();
       }
       decisions.tell(new Start(config.seed(), config.settings()));
-      decisions.tell(group.saved(config.known()));
+      discovery.saved().forEach(decisions::tell);
       if (!config.inherited()) {
         clients.resume();
       }
--- a/proxy/src/test/java/lemondeal/consul/HealthAnswerTest.java
+++ b/proxy/src/test/java/lemondeal/consul/HealthAnswerTest.java
@@ -5,14 +5,19 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import lemondeal.codec.Cuts;
 import lemondeal.codec.ProtocolException;
 import lemondeal.membership.Health;
+import lemondeal.membership.Member;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -20,8 +25,6 @@
 
 /** Consul's answers read, and what is not one refused with a reason, whatever it holds. */
 class HealthAnswerTest {
-  private final HealthAnswer parser = new HealthAnswer(1000);
-
   /** One entry as Consul's documentation shapes it, with fields the proxy does not use among those it does. */
   static String entry(String node, String id, int port, String checks) {
     return """
@@ -44,13 +47,27 @@
 
   private static final String SOUND = check("serfHealth", "", "passing") + "," + check("service:web", "web", "passing");
 
+  private static List<CatalogEntry> read(byte[] body) throws ProtocolException {
+    return read(body, 1000);
+  }
+
+  private static List<CatalogEntry> read(byte[] body, int most) throws ProtocolException {
+    List<CatalogEntry> entries = new ArrayList<>();
+    try {
+      new HealthAnswer(most).read(new ByteArrayInputStream(body), entries::add);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return entries;
+  }
+
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
 
   @Example
   void anAnswerIsReadWithWhatItSaysAndNothingElse() throws ProtocolException {
-    List<CatalogEntry> entries = parser.read(bytes("[" + entry("n1", "web", 8080, SOUND) + ","
+    List<CatalogEntry> entries = read(bytes("[" + entry("n1", "web", 8080, SOUND) + ","
         + entry("n2", "web", 8081, check("serfHealth", "", "critical")) + "]"));
     assertEquals(2, entries.size());
     CatalogEntry first = entries.get(0);
@@ -63,13 +80,13 @@
     assertEquals(7, first.createIndex());
     assertEquals(2, first.checks().size());
     assertEquals(new CatalogEntry.Check("serfHealth", "", "critical"), entries.get(1).checks().get(0));
-    assertEquals(List.of(), parser.read(bytes("[]")));
+    assertEquals(List.of(), read(bytes("[]")));
   }
 
   /** Consul leaves out what is empty, or gives null: both are as nothing. */
   @Example
   void nullsAndAbsentFieldsAreEmpty() throws ProtocolException {
-    CatalogEntry entry = parser.read(bytes("""
+    CatalogEntry entry = read(bytes("""
         [{"Node":{"Node":"n1","Address":"10.0.0.1","Meta":null},
           "Service":{"ID":"a","Port":1,"Tags":null,"Meta":null,"Weights":null,"TaggedAddresses":null},"Checks":null}]
         """)).get(0);
@@ -83,7 +100,7 @@
   void aCutAnswerIsRefused(@ForAll @IntRange(min = 0, max = 2000) int at) {
     String whole = "[" + entry("n1", "web", 8080, SOUND) + "," + entry("n2", "api", 9090, SOUND) + "]";
     String cut = whole.substring(0, Math.min(at, whole.length() - 1));
-    ProtocolException refused = assertThrows(ProtocolException.class, () -> parser.read(bytes(cut)));
+    ProtocolException refused = assertThrows(ProtocolException.class, () -> read(bytes(cut)));
     assertFalse(refused.getMessage().isEmpty());
   }
 
@@ -100,7 +117,7 @@
         piece.duplicate().get(part);
         all.writeBytes(part);
         if (all.size() == whole.length()) {
-          parser.read(all.toByteArray());
+          read(all.toByteArray());
         }
       }
     });
@@ -110,27 +127,27 @@
   void hostileAnswersAreRefusedQuickly() {
     // Under a field that is passed over, where only the bound on depth can stop it.
     String deep = "[{\"Extra\":" + "[".repeat(5000) + "]".repeat(5000) + "}]";
-    assertTrue(assertThrows(ProtocolException.class, () -> parser.read(bytes(deep))).getMessage().contains("depth"));
+    assertTrue(assertThrows(ProtocolException.class, () -> read(bytes(deep))).getMessage().contains("depth"));
     String longText = "[{\"Node\":{\"Node\":\"" + "x".repeat(100_000) + "\"}}]";
-    assertThrows(ProtocolException.class, () -> parser.read(bytes(longText)));
+    assertThrows(ProtocolException.class, () -> read(bytes(longText)));
     String wrongType = "[" + entry("n1", "web", 8080, SOUND).replace("\"Port\":8080,\"Weights\"",
         "\"Port\":\"8080\",\"Weights\"") + "]";
-    assertTrue(assertThrows(ProtocolException.class, () -> parser.read(bytes(wrongType))).getMessage()
+    assertTrue(assertThrows(ProtocolException.class, () -> read(bytes(wrongType))).getMessage()
         .contains("Service.Port"));
-    assertThrows(ProtocolException.class, () -> parser.read(bytes("<html>502 Bad Gateway</html>")));
-    assertThrows(ProtocolException.class, () -> parser.read(bytes("{\"error\":\"no\"}")));
-    assertThrows(ProtocolException.class, () -> parser.read(bytes("[] []")));
+    assertThrows(ProtocolException.class, () -> read(bytes("<html>502 Bad Gateway</html>")));
+    assertThrows(ProtocolException.class, () -> read(bytes("{\"error\":\"no\"}")));
+    assertThrows(ProtocolException.class, () -> read(bytes("[] []")));
     String badStatus = "[" + entry("n1", "web", 8080, check("serfHealth", "", "maybe")) + "]";
-    assertThrows(ProtocolException.class, () -> parser.read(bytes(badStatus)));
+    assertThrows(ProtocolException.class, () -> read(bytes(badStatus)));
     String many = "[" + String.join(",", java.util.Collections.nCopies(3, entry("n1", "web", 1, SOUND))) + "]";
-    assertTrue(assertThrows(ProtocolException.class, () -> new HealthAnswer(2).read(bytes(many))).getMessage()
+    assertTrue(assertThrows(ProtocolException.class, () -> read(bytes(many), 2)).getMessage()
         .contains("more than 2"));
   }
 
   // ---- The mapping ------------------------------------------------------------------------------
 
   private static CatalogEntry one(String checks) throws ProtocolException {
-    return new HealthAnswer(10).read(bytes("[" + entry("n1", "web", 8080, checks) + "]")).get(0);
+    return read(bytes("[" + entry("n1", "web", 8080, checks) + "]")).get(0);
   }
 
   /** The table of docs/CONSUL.md: the worst check counts, maintenance above all. */
@@ -151,7 +168,7 @@
   void fieldsAndAddressesAreTakenWhereTheOperatorSays() throws Exception {
     Mapping mapping = new Mapping(Mapping.AddressFrom.SERVICE, null, new Mapping.Field(Mapping.Where.TAG, "zone="),
         new Mapping.Field(Mapping.Where.SERVICE_META, "model"), new Mapping.Field(Mapping.Where.SERVICE_META, "cell"));
-    Mapping.Member member = mapping.member(one(SOUND));
+    Member member = mapping.member(one(SOUND));
     assertEquals("n1/web", member.id());
     assertEquals("a", member.zone());
     assertEquals("small", member.model());
@@ -164,7 +181,7 @@
     assertEquals(new InetSocketAddress("10.1.10.13", 8080), tagged.member(one(SOUND)).address());
     Mapping missing = new Mapping(Mapping.AddressFrom.TAGGED, "lan_ipv6", null, null, null);
     assertThrows(Mapping.Unusable.class, () -> missing.member(one(SOUND)));
-    CatalogEntry named = new HealthAnswer(10).read(bytes("[" + entry("n1", "web", 8080, SOUND)
+    CatalogEntry named = read(bytes("[" + entry("n1", "web", 8080, SOUND)
         .replace("\"Address\":\"\",", "\"Address\":\"web.service.consul\",") + "]")).get(0);
     assertTrue(assertThrows(Mapping.Unusable.class, () -> Mapping.DEFAULT.member(named)).getMessage()
         .contains("no numeric address"), "no name is looked up");
@@ -173,7 +190,7 @@
   /** A service id is unique on its node alone: the same id on two nodes is two servers. */
   @Example
   void theSameServiceIdOnTwoNodesIsTwoServers() throws Exception {
-    List<CatalogEntry> two = parser.read(bytes("[" + entry("n1", "web", 8080, SOUND) + ","
+    List<CatalogEntry> two = read(bytes("[" + entry("n1", "web", 8080, SOUND) + ","
         + entry("n2", "web", 8080, SOUND) + "]"));
     assertFalse(Mapping.DEFAULT.member(two.get(0)).id().equals(Mapping.DEFAULT.member(two.get(1)).id()));
   }
--- a/proxy/src/test/java/lemondeal/operator/OperatorTest.java
+++ b/proxy/src/test/java/lemondeal/operator/OperatorTest.java
@@ -132,7 +132,7 @@
             damping: {quiet: 3s, most: 90s}
             guard: {most_lost: 0.3, empty: true}
         """));
-    lemondeal.consul.ConsulSettings consul = operator.consul();
+    lemondeal.consul.ConsulSettings consul = operator.consul().get(0).settings();
     assertEquals(2, consul.agents().size());
     assertEquals("dc2", consul.datacenter());
     assertEquals(lemondeal.consul.ConsulSettings.Consistency.STALE, consul.consistency());
@@ -154,7 +154,32 @@
     assertEquals(List.of("0:0 discovery.consul.damping.most: found 1000 ms; allowed: at least quiet, 5000 ms"),
         faults(start + "    agents: ['1.2.3.4:8500']\n    damping: {quiet: 5s, most: 1s}\n"));
     assertTrue(faults(start + "    agents: ['1.2.3.4:8500']\n    address: dns\n").get(0).contains("service, node, or tagged:NAME"));
-    assertTrue(faults("version: 1\ndiscovery:\n  consul:\n    agents: []\n").size() >= 2, "service and agents");
+    assertTrue(faults("version: 1\ndiscovery:\n  consul:\n    agents: []\n").get(0).contains("discovery.consul.agents"));
+    assertEquals(List.of("0:0 discovery.consul: found no service; allowed: service, or services with the classes of each"),
+        faults("version: 1\ndiscovery:\n  consul:\n    agents: ['1.2.3.4:8500']\n"));
+    assertEquals(List.of("0:0 discovery.consul.filter: column 14: found 'equals'; allowed: "
+        + "'not', 'in', 'is', 'contains', 'matches', '==', '!='"),
+        faults(start + "    agents: ['1.2.3.4:8500']\n    filter: Service.Port equals 3\n"));
+  }
+
+  @Test
+  void eachClassHasItsServiceWithASavedListOfItsOwn() throws IOException {
+    String start = "version: 1\ndiscovery:\n  consul:\n    agents: ['1.2.3.4:8500']\n";
+    Operator operator = Operator.read(file(start + """
+            saved: {file: last.list, most_age: 2h, every: 1s}
+            services:
+              - {service: link, classes: [chat, order-sync]}
+              - {service: feed, classes: [menu-feed], filter: 'Service.Port != 7'}
+        """));
+    assertEquals(2, operator.consul().size());
+    assertEquals(List.of("chat", "order-sync"), operator.consul().get(0).classes());
+    assertEquals("feed", operator.consul().get(1).settings().service());
+    assertEquals("Service.Port != 7", operator.consul().get(1).settings().filter());
+    assertEquals(new lemondeal.saved.ListFile.Settings(folder.resolve("last.list.feed"), 7_200_000, 1_000),
+        operator.consul().get(1).settings().saved());
+    assertEquals(List.of("0:0 discovery.consul.services: class 'a' stands twice; allowed: each class once",
+        "0:0 discovery.consul.services: service 'x' stands twice; allowed: each service once"),
+        faults(start + "    services: [{service: x, classes: [a]}, {service: x, classes: [a]}]\n"));
   }
 
   @Test
