Judge the stand-in Consul by a client library, and play a minute's absence, hostile answers and SIGHUP

The stand-in is split into Catalogue (what it knows), Instance and the HTTP side; JSON by Jackson; filters by the shared grammar; catalogue, state, node and agent endpoints; moods HALF, HURRIES, STALLS, NESTS, FLOODS; a restored index answers whoever waits.

ConsulSiteTest: Consul away for 60 s while one server drains and another dies; NESTS, FLOODS, HALF and STALLS in turn; SIGHUP with another agent, TLS, token and service at once, then an expired certificate; a start from the saved list; two services for two classes, one address shared.

--- a/lab/src/main/java/lemondeal/lab/TestAuthority.java
+++ b/lab/src/main/java/lemondeal/lab/TestAuthority.java
@@ -1,4 +1,4 @@
-package lemondeal.lab.claims;
+package lemondeal.lab;
 
 import java.io.IOException;
 import java.io.StringWriter;
@@ -55,7 +55,7 @@
   public static TestAuthority make(String name) {
     KeyPair keys = keyPair();
     X500Name subject = new X500Name("CN=" + name);
-    X509v3CertificateBuilder builder = builder(subject, subject, keys);
+    X509v3CertificateBuilder builder = builder(subject, subject, keys, LIFE);
     try {
       builder.addExtension(Extension.basicConstraints, true, new BasicConstraints(true));
       builder.addExtension(Extension.keyUsage, true, new KeyUsage(KeyUsage.keyCertSign | KeyUsage.cRLSign));
@@ -79,8 +79,17 @@
    * names.
    */
   public Issued issue(Path folder, String file, String... names) throws IOException {
+    return issue(folder, file, LIFE, names);
+  }
+
+  /** One whose time was over an hour ago. */
+  public Issued issueExpired(Path folder, String file, String... names) throws IOException {
+    return issue(folder, file, Duration.ofHours(-1), names);
+  }
+
+  private Issued issue(Path folder, String file, Duration left, String... names) throws IOException {
     KeyPair issued = keyPair();
-    X509v3CertificateBuilder builder = builder(new X500Name("CN=" + name), new X500Name("CN=" + names[0]), issued);
+    X509v3CertificateBuilder builder = builder(new X500Name("CN=" + name), new X500Name("CN=" + names[0]), issued, left);
     GeneralName[] alternatives = new GeneralName[names.length];
     for (int i = 0; i < names.length; i++) {
       alternatives[i] = new GeneralName(names[i].matches("[0-9.]+") ? GeneralName.iPAddress : GeneralName.dNSName,
@@ -102,10 +111,11 @@
     return new Issued(certificateFile, keyFile);
   }
 
-  private static X509v3CertificateBuilder builder(X500Name issuer, X500Name subject, KeyPair keys) {
+  private static X509v3CertificateBuilder builder(X500Name issuer, X500Name subject, KeyPair keys,
+      Duration left) {
     Instant now = Instant.now();
     return new JcaX509v3CertificateBuilder(issuer, BigInteger.valueOf(SERIALS.incrementAndGet()),
-        Date.from(now.minus(Duration.ofMinutes(5))), Date.from(now.plus(LIFE)), subject, keys.getPublic());
+        Date.from(now.minus(LIFE)), Date.from(now.plus(left)), subject, keys.getPublic());
   }
 
   private static X509Certificate sign(X509v3CertificateBuilder builder, KeyPair signer) {
--- a/lab/src/main/java/lemondeal/lab/consul/ConsulConsole.java
+++ b/lab/src/main/java/lemondeal/lab/consul/ConsulConsole.java
@@ -75,7 +75,7 @@
       }
       case "restore" -> {
         try {
-          consul.restoreIndex(Long.parseLong(name));
+          consul.catalogue().restoreIndex(Long.parseLong(name));
           return "index " + name;
         } catch (NumberFormatException e) {
           return "'" + name + "' is no index; " + HELP;
@@ -93,16 +93,16 @@
       return "no server '" + name + "'; there are " + keys.keySet();
     }
     switch (verb) {
-      case "critical", "warning", "passing" -> consul.status(key, verb);
-      case "leave" -> consul.check(key, "serfHealth", "critical");
+      case "critical", "warning", "passing" -> consul.catalogue().status(key, verb);
+      case "leave" -> consul.catalogue().check(key, "serfHealth", "critical");
       case "maintenance" -> {
         if (words.length < 3 || !words[2].matches("on|off")) {
           return "maintenance wants on or off; " + HELP;
         }
-        consul.maintenance(key, words[2].equals("on"));
+        consul.catalogue().maintenance(key, words[2].equals("on"));
       }
       case "deregister" -> {
-        consul.deregister(key);
+        consul.catalogue().deregister(key);
         keys.remove(name);
         servers.remove(name).close();
       }
@@ -116,7 +116,7 @@
   private String add(String name) throws IOException {
     LinkServer server = new LinkServer();
     servers.put(name, server);
-    keys.put(name, consul.register("node-" + name, "127.0.0.1", ConsulSite.SERVICE, name, server.address().getPort()));
+    keys.put(name, consul.catalogue().register("node-" + name, "127.0.0.1", ConsulSite.SERVICE, name, server.address().getPort()));
     return name + " at 127.0.0.1:" + server.address().getPort();
   }
 
--- a/lab/src/main/java/lemondeal/lab/consul/ConsulSite.java
+++ b/lab/src/main/java/lemondeal/lab/consul/ConsulSite.java
@@ -22,14 +22,17 @@
 public final class ConsulSite implements AutoCloseable {
   /** The service that the link servers are registered under. */
   public static final String SERVICE = "link";
+  /** The class of ordinary clients. */
+  public static final String CLASS = "chat";
+  /** Another class. */
+  public static final String FEED = "feed";
 
   private final Path folder;
   private final ConsulStandIn consul;
   private final Map<String, LinkServer> servers = new LinkedHashMap<>();
-  private final Map<String, String> keys = new LinkedHashMap<>();
+  private final Map<String, String> registered = new LinkedHashMap<>();
   private final List<ServeProcess> proxies = new ArrayList<>();
   private final AtomicInteger turn = new AtomicInteger();
-  private final String more;
   private final int unused;
 
   /**
@@ -40,37 +43,54 @@
   public ConsulSite(int proxyCount, int serverCount, String more) throws IOException, InterruptedException {
     folder = Files.createTempDirectory("lemondeal-consul");
     consul = new ConsulStandIn();
-    this.more = more;
     try (ServerSocket nobody = new ServerSocket(0)) {
       unused = nobody.getLocalPort();
     }
     for (int i = 1; i <= serverCount; i++) {
       addServer("s-" + i);
     }
-    writeOperatorFile(List.of(consul.address()));
+    writeOperatorFile(List.of(consul.address()), keys(more));
     for (int i = 0; i < proxyCount; i++) {
       startProxy(i, proxyCount);
     }
   }
 
-  /** The operator's file from the next start or SIGHUP on, with Consul at these agents. */
-  public void writeOperatorFile(List<InetSocketAddress> agents) throws IOException {
+  /** The operator's file from the next start or SIGHUP on: Consul at these agents, and these other keys beside them. */
+  public void writeOperatorFile(List<InetSocketAddress> agents, String keys) throws IOException {
     List<String> quoted = agents.stream().map(agent -> "'127.0.0.1:" + agent.getPort() + "'").toList();
     Files.writeString(folder.resolve("operator.yaml"), """
         version: 1
         discovery:
           consul:
             agents: [%s]
-            service: %s
         %s
-        """.formatted(String.join(", ", quoted), SERVICE, more.indent(4)));
+        """.formatted(String.join(", ", quoted), keys.indent(4)));
+  }
+
+  /** SIGHUP to every proxy, and waits until each has read its file anew. */
+  public void hangUp() throws IOException, InterruptedException {
+    for (ServeProcess proxy : proxies) {
+      proxy.hangUp();
+      proxy.await("read anew");
+    }
+  }
+
+  /** The ordinary service and these keys. */
+  public static String keys(String more) {
+    return "service: " + SERVICE + "\n" + more;
   }
 
   /** Starts a link server and registers it on a node of its own, named as the server. */
   public LinkServer addServer(String name) throws IOException {
+    return addServer(name, SERVICE, consul);
+  }
+
+  /** The same under another service, or in another Consul. */
+  public LinkServer addServer(String name, String service, ConsulStandIn in) throws IOException {
     LinkServer server = new LinkServer();
     servers.put(name, server);
-    keys.put(name, consul.register("node-" + name, "127.0.0.1", SERVICE, name, server.address().getPort()));
+    registered.put(name, in.catalogue().register("node-" + name, "127.0.0.1", service, name,
+        server.address().getPort()));
     return server;
   }
 
@@ -88,8 +108,9 @@
            "rules":{"answerSlack":20000,"drainGrace":1000000,"fallMultiple":4.0,"overloadFor":2000000,
              "coldFrom":0.35,"warmWithin":9000000},
            "prices":{"crossZone":0.03,"waste":0.2,"probe":0.0023,"moves":0.01},
-           "profiles":[{"name":"chat","semantics":"idempotent","aim":500000,"hardLimit":2000000}]}}
-        """.formatted(i, unused, i + 1, i, count));
+           "profiles":[{"name":"%s","semantics":"idempotent","aim":500000,"hardLimit":2000000},
+            {"name":"%s","semantics":"idempotent","aim":500000,"hardLimit":2000000}]}}
+        """.formatted(i, unused, i + 1, i, count, CLASS, FEED));
     ServeProcess started = ServeProcess.start(config, folder.resolve("operator.yaml"));
     if (i < proxies.size()) {
       proxies.set(i, started);
@@ -120,7 +141,7 @@
 
   /** The server's key in Consul. */
   public String key(String name) {
-    return keys.get(name);
+    return registered.get(name);
   }
 
   public Map<String, LinkServer> servers() {
--- a/lab/src/main/java/lemondeal/lab/consul/ConsulStandIn.java
+++ b/lab/src/main/java/lemondeal/lab/consul/ConsulStandIn.java
@@ -1,8 +1,12 @@
 package lemondeal.lab.consul;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import com.sun.net.httpserver.HttpsConfigurator;
+import com.sun.net.httpserver.HttpsParameters;
 import com.sun.net.httpserver.HttpsServer;
 import java.io.IOException;
 import java.io.OutputStream;
@@ -10,10 +14,8 @@
 import java.net.InetSocketAddress;
 import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -21,87 +23,61 @@
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLParameters;
+import lemondeal.consul.filter.Filter;
+import lemondeal.consul.filter.FilterException;
+import lemondeal.consul.filter.Filters;
 
 /**
- * A stand-in for Consul's HTTP API, as far as the proxy uses it: {@code GET /v1/health/service/NAME} with blocking
- * queries, and the headers {@code X-Consul-Index}, {@code X-Consul-KnownLeader} and {@code X-Consul-LastContact}. Written
- * from Consul's public documentation; on loopback. Instances and checks are changed by the test that owns it, and faults
- * are ordered as moods.
+ * A stand-in for Consul's HTTP API on loopback, written from its public documentation: the health and catalogue endpoints
+ * with blocking queries, filters and their headers, and what an agent offers to register services and set checks. What
+ * there is to know stands in its {@link Catalogue}; faults are ordered as moods, which all endpoints have.
  */
 public final class ConsulStandIn implements AutoCloseable {
   private static final long WAIT_DEFAULT_MILLIS = 300_000;
   private static final long WAIT_MOST_MILLIS = 600_000;
+  private static final int HUGE_BYTES = 70 << 20;
+  private static final ObjectMapper JSON = new ObjectMapper();
+  /** The node whose agent the agent endpoints speak for. */
+  private static final String AGENT_NODE = "agent-node";
 
   /** What it does with a call. */
   public enum Mood {
-    ANSWERS,
+    ANSWERS(true),
     /** Holds each call without a word, until its caller gives up. */
-    SILENT,
+    SILENT(false),
     /** 500 to every call. */
-    FAILS,
+    FAILS(false),
     /** 429: asked too often. */
-    TOO_OFTEN,
+    TOO_OFTEN(false),
     /** Answers, and says that it knows no leader. */
-    NO_LEADER,
+    NO_LEADER(true),
     /** Answers, from a server that last heard its leader a minute ago. */
-    STALE,
+    STALE(true),
     /** Answers with no instance at all. */
-    EMPTY,
+    EMPTY(true),
+    /** Answers without every second instance. */
+    HALF(true),
+    /** Blocking queries return at once with nothing changed, as Consul may. */
+    HURRIES(false),
     /** Sends half of the answer, then closes. */
-    CUTS,
+    CUTS(true),
+    /** Sends half of the answer, then nothing more. */
+    STALLS(true),
     /** Closes the connection without an answer. */
-    RESETS,
+    RESETS(false),
     /** Not JSON. */
-    GARBLES
-  }
-
-  /** One instance of a service, with its checks, as a test registers it. */
-  public static final class Instance {
-    final String node;
-    final String nodeAddress;
-    final String id;
-    final String service;
-    final int port;
-    final List<String> tags = new ArrayList<>();
-    final Map<String, String> nodeMeta = new LinkedHashMap<>();
-    final Map<String, String> serviceMeta = new LinkedHashMap<>();
-    final Map<String, String> checks = new LinkedHashMap<>();
-    final Map<String, String> checkService = new HashMap<>();
-    String address = "";
-    int passing = 1;
-    int warning = 1;
-    long createIndex;
-
-    /** Sets {@code Weights.Warning}. */
-    public void warningWeight(int weight) {
-      warning = weight;
-    }
+    GARBLES(true),
+    /** JSON that nests without end. */
+    NESTS(true),
+    /** 70 MB. */
+    FLOODS(true);
 
-    /** Adds a tag. */
-    public void tag(String tag) {
-      tags.add(tag);
-    }
-
-    /** Sets a key of the node's metadata. */
-    public void nodeMeta(String key, String value) {
-      nodeMeta.put(key, value);
-    }
+    /** Whether a blocking query waits; in the others it is answered, or not, at once. */
+    private final boolean waits;
 
-    /** Sets the service's own address; empty for its node's. */
-    public void address(String text) {
-      address = text;
-    }
-
-    Instance(String node, String nodeAddress, String service, String id, int port) {
-      this.node = node;
-      this.nodeAddress = nodeAddress;
-      this.service = service;
-      this.id = id;
-      this.port = port;
-      checks.put("serfHealth", "passing");
-      checkService.put("serfHealth", "");
-      checks.put("service:" + id, "passing");
-      checkService.put("service:" + id, id);
+    Mood(boolean waits) {
+      this.waits = waits;
     }
   }
 
@@ -111,14 +87,11 @@
     thread.setDaemon(true);
     return thread;
   });
-  /** The lock of all that follows, and what blocking queries wait on. */
-  private final Object lock = new Object();
-  private final Map<String, Instance> instances = new LinkedHashMap<>();
-  private final Map<String, Long> serviceIndex = new HashMap<>();
+  private final Catalogue catalogue = new Catalogue();
   private final AtomicLong calls = new AtomicLong();
-  private long raftIndex = 10;
   private volatile Mood mood = Mood.ANSWERS;
   private volatile Predicate<String> onlyToken = token -> true;
+  private volatile boolean closed;
 
   /** On a free port of loopback, in plain HTTP. */
   public ConsulStandIn() throws IOException {
@@ -132,24 +105,48 @@
       server = HttpServer.create(any, 64);
     } else {
       HttpsServer https = HttpsServer.create(any, 64);
-      https.setHttpsConfigurator(new HttpsConfigurator(tls));
+      https.setHttpsConfigurator(new AskingForCertificates(tls));
       server = https;
     }
     server.setExecutor(threads);
-    server.createContext("/v1/health/service/", this::health);
+    server.createContext("/v1/health/service/", exchange -> query(exchange, this::health));
+    server.createContext("/v1/health/state/", exchange -> query(exchange, (name, query, now) ->
+        catalogue.checks(name)));
+    server.createContext("/v1/catalog/service/", exchange -> query(exchange, (name, query, now) ->
+        catalogue.catalogue(name)));
+    server.createContext("/v1/catalog/nodes", exchange -> query(exchange, (name, query, now) -> catalogue.nodes()));
+    server.createContext("/v1/status/leader", exchange -> agent(exchange, () -> "\"127.0.0.1:8300\""));
+    server.createContext("/v1/agent/", exchange -> agent(exchange, () -> agentCall(exchange)));
     server.start();
   }
 
+  /** Takes a client's certificate where it has one: who must have one is the test's trust to say. */
+  private static final class AskingForCertificates extends HttpsConfigurator {
+    AskingForCertificates(SSLContext context) {
+      super(context);
+    }
+
+    @Override
+    public void configure(HttpsParameters parameters) {
+      SSLParameters ours = getSSLContext().getDefaultSSLParameters();
+      ours.setWantClientAuth(true);
+      parameters.setSSLParameters(ours);
+    }
+  }
+
   public InetSocketAddress address() {
     return server.getAddress();
   }
 
+  /** What it knows, to be changed by the test that owns it. */
+  public Catalogue catalogue() {
+    return catalogue;
+  }
+
   /** From now on; calls that wait are woken, to be answered in the new mood's way. */
   public void mood(Mood fresh) {
-    synchronized (lock) {
-      mood = fresh;
-      lock.notifyAll();
-    }
+    mood = fresh;
+    catalogue.wake();
   }
 
   /** Answers only calls whose {@code X-Consul-Token} passes; others get 403, as with an ACL that denies. */
@@ -157,212 +154,147 @@
     onlyToken = allowed;
   }
 
-  /** Calls of the health endpoint so far. */
+  /** Calls of endpoints with blocking queries so far. */
   public long calls() {
     return calls.get();
   }
 
-  /** Registers an instance, or registers it anew: as after a restart, with a new create index. Returns its key. */
-  public String register(String node, String nodeAddress, String service, String id, int port) {
-    synchronized (lock) {
-      Instance instance = new Instance(node, nodeAddress, service, id, port);
-      instance.createIndex = ++raftIndex;
-      instances.put(key(node, id), instance);
-      changed(service);
-      return key(node, id);
-    }
-  }
+  // ---- Queries ----------------------------------------------------------------------------------
 
-  private static String key(String node, String id) {
-    return node + "/" + id;
+  /** Looks the answer up when it is time to. */
+  private interface Look {
+    Catalogue.View at(String name, Map<String, String> query, Mood mood) throws FilterException;
   }
 
-  /** Changes an instance: meta, tags, weights, address. The change is one step of the index. */
-  public void change(String key, java.util.function.Consumer<Instance> change) {
-    synchronized (lock) {
-      Instance instance = instances.get(key);
-      change.accept(instance);
-      changed(instance.service);
+  private Catalogue.View health(String name, Map<String, String> query, Mood now) throws FilterException {
+    int[] count = new int[1];
+    boolean passing = query.containsKey("passing") && !query.get("passing").equals("false");
+    Catalogue.View all = catalogue.health(name, instance -> (now != Mood.HALF || count[0]++ % 2 == 0)
+        && (!passing || instance.status().equals("passing"))
+        && (!query.containsKey("tag") || instance.tags.contains(query.get("tag"))));
+    if (!query.containsKey("filter")) {
+      return all;
     }
-  }
-
-  /** Sets the status of the instance's own check: passing, warning or critical. */
-  public void status(String key, String status) {
-    check(key, "service:" + key.substring(key.indexOf('/') + 1), status);
-  }
-
-  /** Sets the status of one of its checks, made where it is missing. */
-  public void check(String key, String check, String status) {
-    synchronized (lock) {
-      Instance instance = instances.get(key);
-      instance.checks.put(check, status);
-      instance.checkService.putIfAbsent(check, check.equals("serfHealth") || check.equals("_node_maintenance") ? ""
-          : instance.id);
-      changed(instance.service);
+    Filter filter = Filters.parse(query.get("filter"));
+    Filters.check(filter);
+    ArrayNode passed = JSON.createArrayNode();
+    for (JsonNode entry : all.json()) {
+      if (FilterMatch.passes(filter, entry)) {
+        passed.add(entry);
+      }
     }
+    return new Catalogue.View(passed, all.index());
   }
 
-  /** Maintenance of the instance: a critical check of that name, as Consul adds one. */
-  public void maintenance(String key, boolean on) {
-    synchronized (lock) {
-      Instance instance = instances.get(key);
-      String check = "_service_maintenance:" + instance.id;
-      if (on) {
-        instance.checks.put(check, "critical");
-        instance.checkService.put(check, instance.id);
+  private void query(HttpExchange exchange, Look look) throws IOException {
+    calls.incrementAndGet();
+    try (exchange) {
+      Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
+      if (!onlyToken.test(token(exchange, query))) {
+        send(exchange, 403, "Permission denied: token with AccessorID 'anonymous' lacks permission", 0, mood);
+      } else if (!query.getOrDefault("dc", Catalogue.DATACENTER).equals(Catalogue.DATACENTER)) {
+        send(exchange, 500, "No path to datacenter", 0, mood);
+      } else if (query.containsKey("index") && !query.get("index").matches("[0-9]{1,18}")) {
+        send(exchange, 400, "Invalid index", 0, mood);
       } else {
-        instance.checks.remove(check);
+        lookUp(exchange, query, look);
       }
-      changed(instance.service);
-    }
-  }
-
-  /** Takes the instance out of the catalogue. */
-  public void deregister(String key) {
-    synchronized (lock) {
-      Instance gone = instances.remove(key);
-      changed(gone.service);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 
-  /** As after a restore from an older snapshot: the index begins low again. */
-  public void restoreIndex(long index) {
-    synchronized (lock) {
-      raftIndex = index;
-      serviceIndex.replaceAll((service, before) -> index);
-      lock.notifyAll();
+  private void lookUp(HttpExchange exchange, Map<String, String> query, Look look)
+      throws IOException, InterruptedException {
+    String path = exchange.getRequestURI().getPath();
+    String name = path.substring(path.lastIndexOf('/') + 1);
+    awaitChange(path.contains("/service/") ? name : "", query);
+    Mood now = mood;
+    Catalogue.View view;
+    try {
+      view = look.at(name, query, now);
+    } catch (FilterException e) {
+      send(exchange, 400, "Failed to create boolean expression evaluator: " + e.getMessage(), 0, now);
+      return;
     }
+    answer(exchange, now, view);
   }
 
-  private void changed(String service) {
-    serviceIndex.put(service, ++raftIndex);
-    lock.notifyAll();
+  /** In the header, or in the query as older clients give it; null where there is none. */
+  private static String token(HttpExchange exchange, Map<String, String> query) {
+    String header = exchange.getRequestHeaders().getFirst("X-Consul-Token");
+    return header != null ? header : query.get("token");
   }
 
-  // ---- The endpoint ----------------------------------------------------------------------------
-
-  private void health(HttpExchange exchange) throws IOException {
-    calls.incrementAndGet();
-    try (exchange) {
-      if (!onlyToken.test(exchange.getRequestHeaders().getFirst("X-Consul-Token"))) {
-        send(exchange, 403, "ACL not found", 0, true, 0);
-        return;
-      }
-      Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
-      String service = exchange.getRequestURI().getPath().substring("/v1/health/service/".length());
-      long index = whole(query.get("index"));
-      long waitMillis = Math.min(WAIT_MOST_MILLIS, query.containsKey("wait") ? duration(query.get("wait"))
+  private void awaitChange(String service, Map<String, String> query) throws InterruptedException {
+    Mood began = mood;
+    if (began.waits && query.containsKey("index")) {
+      long wait = Math.min(WAIT_MOST_MILLIS, query.containsKey("wait") ? duration(query.get("wait"))
           : WAIT_DEFAULT_MILLIS);
-      String body;
-      long at;
-      Mood now;
-      synchronized (lock) {
-        long until = System.currentTimeMillis() + waitMillis + waitMillis / 16;
-        Mood began = mood;
-        while (index > 0 && answersAfterWaiting(began) && serviceIndex.getOrDefault(service, raftIndex) <= index
-            && mood == began) {
-          long left = until - System.currentTimeMillis();
-          if (left <= 0) {
-            break;
-          }
-          lock.wait(left);
-        }
-        now = mood;
-        at = serviceIndex.getOrDefault(service, raftIndex);
-        body = now == Mood.EMPTY ? "[]" : now == Mood.GARBLES ? "<html>gateway</html>" : entries(service);
-      }
-      answer(exchange, now, body, at);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+      catalogue.await(service, Long.parseLong(query.get("index")), wait + wait / 16, () -> mood != began || closed);
     }
   }
 
-  /** Whether a blocking query waits in this mood; in the others it is answered, or not, at once. */
-  private static boolean answersAfterWaiting(Mood mood) {
-    return mood != Mood.SILENT && mood != Mood.FAILS && mood != Mood.TOO_OFTEN && mood != Mood.RESETS;
-  }
-
-  private static void answer(HttpExchange exchange, Mood now, String body, long at) throws IOException {
+  private void answer(HttpExchange exchange, Mood now, Catalogue.View view) throws IOException, InterruptedException {
+    byte[] body = JSON.writeValueAsBytes(view.json());
     switch (now) {
-      case SILENT -> sleep(WAIT_MOST_MILLIS);
-      case FAILS -> send(exchange, 500, "rpc error: No cluster leader", 0, false, 0);
-      case TOO_OFTEN -> send(exchange, 429, "rate limit exceeded", 0, true, 0);
+      case SILENT -> hold();
+      case FAILS -> send(exchange, 500, "rpc error making call: No cluster leader", 0, now);
+      case TOO_OFTEN -> send(exchange, 429, "rate limit exceeded", 0, now);
       case RESETS -> {
         // Closed before any header: the caller sees its connection end under its call.
       }
-      case CUTS -> {
-        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-        exchange.getResponseHeaders().set("X-Consul-Index", Long.toString(at));
-        exchange.sendResponseHeaders(200, bytes.length);
-        exchange.getResponseBody().write(bytes, 0, bytes.length / 2);
+      case CUTS, STALLS -> {
+        exchange.getResponseHeaders().set("X-Consul-Index", Long.toString(view.index()));
+        exchange.sendResponseHeaders(200, body.length);
+        exchange.getResponseBody().write(body, 0, body.length / 2);
         exchange.getResponseBody().flush();
+        if (now == Mood.STALLS) {
+          hold();
+        }
       }
-      default -> send(exchange, 200, body, at, now != Mood.NO_LEADER, now == Mood.STALE ? 60_000 : 0);
+      case EMPTY -> send(exchange, 200, "[]", view.index(), now);
+      case GARBLES -> send(exchange, 200, "<html>502 gateway</html>", view.index(), now);
+      case NESTS -> send(exchange, 200, "[".repeat(100_000), view.index(), now);
+      case FLOODS -> flood(exchange, view.index());
+      default -> send(exchange, 200, body, view.index(), now);
     }
   }
 
-  private static void send(HttpExchange exchange, int status, String body, long index, boolean leader, long contact)
-      throws IOException {
-    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
-    exchange.getResponseHeaders().set("Content-Type", status == 200 ? "application/json" : "text/plain");
-    if (index > 0) {
-      exchange.getResponseHeaders().set("X-Consul-Index", Long.toString(index));
-    }
-    exchange.getResponseHeaders().set("X-Consul-KnownLeader", Boolean.toString(leader));
-    exchange.getResponseHeaders().set("X-Consul-LastContact", Long.toString(contact));
-    exchange.sendResponseHeaders(status, bytes.length);
-    try (OutputStream out = exchange.getResponseBody()) {
-      out.write(bytes);
-    }
+  /** Until the caller gives up or the stand-in ends. */
+  private void hold() throws InterruptedException {
+    Mood held = mood;
+    catalogue.awaitThat(WAIT_MOST_MILLIS, () -> closed || mood != held);
   }
 
-  /** The entries of the service, in the form of Consul's answer. */
-  private String entries(String service) {
-    StringBuilder json = new StringBuilder("[");
-    for (Instance instance : instances.values()) {
-      if (!instance.service.equals(service)) {
-        continue;
-      }
-      if (json.length() > 1) {
-        json.append(',');
-      }
-      json.append("{\"Node\":{\"ID\":\"").append(instance.node).append("-id\",\"Node\":").append(quote(instance.node))
-          .append(",\"Address\":").append(quote(instance.nodeAddress)).append(",\"Datacenter\":\"dc1\",\"Meta\":")
-          .append(map(instance.nodeMeta)).append("},\"Service\":{\"ID\":").append(quote(instance.id))
-          .append(",\"Service\":").append(quote(instance.service)).append(",\"Tags\":").append(list(instance.tags))
-          .append(",\"Address\":").append(quote(instance.address)).append(",\"Meta\":").append(map(instance.serviceMeta))
-          .append(",\"Port\":").append(instance.port).append(",\"Weights\":{\"Passing\":").append(instance.passing)
-          .append(",\"Warning\":").append(instance.warning).append("},\"EnableTagOverride\":false,\"CreateIndex\":")
-          .append(instance.createIndex).append(",\"ModifyIndex\":").append(raftIndex).append("},\"Checks\":[");
-      boolean first = true;
-      for (Map.Entry<String, String> check : instance.checks.entrySet()) {
-        json.append(first ? "" : ",").append("{\"Node\":").append(quote(instance.node)).append(",\"CheckID\":")
-            .append(quote(check.getKey())).append(",\"Name\":").append(quote(check.getKey())).append(",\"Status\":")
-            .append(quote(check.getValue())).append(",\"Notes\":\"\",\"Output\":\"\",\"ServiceID\":")
-            .append(quote(instance.checkService.getOrDefault(check.getKey(), ""))).append(",\"ServiceName\":")
-            .append(quote(instance.checkService.getOrDefault(check.getKey(), "").isEmpty() ? "" : instance.service))
-            .append("}");
-        first = false;
+  private static void flood(HttpExchange exchange, long index) throws IOException {
+    byte[] spaces = new byte[1 << 16];
+    Arrays.fill(spaces, (byte) ' ');
+    exchange.getResponseHeaders().set("X-Consul-Index", Long.toString(index));
+    exchange.sendResponseHeaders(200, 0);
+    try (OutputStream out = exchange.getResponseBody()) {
+      for (int sent = 0; sent < HUGE_BYTES; sent += spaces.length) {
+        out.write(spaces);
       }
-      json.append("]}");
+      out.write("[]".getBytes(StandardCharsets.US_ASCII));
     }
-    return json.append(']').toString();
   }
 
-  private static String quote(String text) {
-    return "\"" + text.replace("\\", "\\\\").replace("\"", "\\\"") + "\"";
+  private static void send(HttpExchange exchange, int status, String body, long index, Mood now) throws IOException {
+    send(exchange, status, body.getBytes(StandardCharsets.UTF_8), index, now);
   }
 
-  private static String list(List<String> items) {
-    List<String> quoted = new ArrayList<>();
-    items.forEach(item -> quoted.add(quote(item)));
-    return "[" + String.join(",", quoted) + "]";
-  }
-
-  private static String map(Map<String, String> values) {
-    List<String> pairs = new ArrayList<>();
-    values.forEach((key, value) -> pairs.add(quote(key) + ":" + quote(value)));
-    return "{" + String.join(",", pairs) + "}";
+  private static void send(HttpExchange exchange, int status, byte[] body, long index, Mood now) throws IOException {
+    exchange.getResponseHeaders().set("Content-Type", status == 200 ? "application/json" : "text/plain");
+    if (index > 0) {
+      exchange.getResponseHeaders().set("X-Consul-Index", Long.toString(index));
+    }
+    exchange.getResponseHeaders().set("X-Consul-KnownLeader", Boolean.toString(now != Mood.NO_LEADER));
+    exchange.getResponseHeaders().set("X-Consul-LastContact", now == Mood.STALE ? "60000" : "0");
+    exchange.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
+    try (OutputStream out = exchange.getResponseBody()) {
+      out.write(body);
+    }
   }
 
   private static Map<String, String> query(String raw) {
@@ -378,14 +310,6 @@
     return query;
   }
 
-  private static long whole(String text) {
-    try {
-      return text == null ? 0 : Long.parseLong(text);
-    } catch (NumberFormatException e) {
-      return 0;
-    }
-  }
-
   /** Consul's form of a duration: a number and ms, s, m or h. */
   private static long duration(String text) {
     String digits = text.replaceAll("[^0-9]", "");
@@ -394,16 +318,67 @@
         : text.endsWith("h") ? number * 3_600_000 : number;
   }
 
-  private static void sleep(long millis) {
-    try {
-      Thread.sleep(millis);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
+  // ---- The agent --------------------------------------------------------------------------------
+
+  /** What a call did; null where there is no such thing. */
+  private interface AgentCall {
+    String done() throws IOException;
+  }
+
+  private void agent(HttpExchange exchange, AgentCall call) throws IOException {
+    try (exchange) {
+      if (!onlyToken.test(token(exchange, query(exchange.getRequestURI().getRawQuery())))) {
+        send(exchange, 403, "Permission denied", 0, mood);
+        return;
+      }
+      String done = call.done();
+      send(exchange, done == null ? 404 : 200, done == null ? "unknown" : done, 0, mood);
     }
   }
 
+  private String agentCall(HttpExchange exchange) throws IOException {
+    String[] path = exchange.getRequestURI().getPath().substring("/v1/agent/".length()).split("/", 3);
+    Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
+    String what = path.length < 2 ? path[0] : path[0] + "/" + path[1];
+    String name = path.length < 3 ? "" : path[2];
+    boolean done = switch (what) {
+      case "service/register" -> register(JSON.readTree(exchange.getRequestBody()));
+      case "service/deregister" -> catalogue.deregister(Catalogue.key(AGENT_NODE, name));
+      case "service/maintenance" -> catalogue.maintenance(Catalogue.key(AGENT_NODE, name),
+          query.getOrDefault("enable", "").equals("true"));
+      case "check/pass" -> check(name, "passing");
+      case "check/warn" -> check(name, "warning");
+      case "check/fail" -> check(name, "critical");
+      default -> false;
+    };
+    return done ? "" : null;
+  }
+
+  private boolean register(JsonNode body) {
+    String name = body.path("Name").asText();
+    // Consul takes its keys in any case, and its client libraries make use of that.
+    String id = body.has("ID") ? body.get("ID").asText() : body.path("Id").asText(name);
+    String key = catalogue.register(AGENT_NODE, "127.0.0.1", name, id, body.path("Port").asInt());
+    return catalogue.change(key, instance -> {
+      body.path("Tags").forEach(tag -> instance.tag(tag.asText()));
+      body.path("Meta").fields().forEachRemaining(meta -> instance.serviceMeta(meta.getKey(), meta.getValue().asText()));
+      instance.address(body.path("Address").asText(""));
+      if (body.path("Weights").isObject()) {
+        instance.passingWeight(body.path("Weights").path("Passing").asInt(1));
+        instance.warningWeight(body.path("Weights").path("Warning").asInt(1));
+      }
+    });
+  }
+
+  private boolean check(String check, String status) {
+    String key = Catalogue.key(AGENT_NODE, check.substring(check.indexOf(':') + 1));
+    return catalogue.has(key) && catalogue.check(key, check, status);
+  }
+
   @Override
   public void close() {
+    closed = true;
+    catalogue.wake();
     server.stop(0);
     threads.shutdownNow();
     try {
--- a/lab/src/main/java/lemondeal/lab/consul/ShortClients.java
+++ b/lab/src/main/java/lemondeal/lab/consul/ShortClients.java
@@ -23,14 +23,16 @@
   private static final AtomicLong IDS = new AtomicLong();
 
   private final Supplier<InetSocketAddress> front;
+  private final String className;
   private final List<Thread> threads = new ArrayList<>();
   private final Map<String, AtomicLong> counts = new ConcurrentHashMap<>();
   private final List<String> breaches = java.util.Collections.synchronizedList(new ArrayList<>());
   private volatile boolean running = true;
 
-  /** Starts so many clients at once. */
-  public ShortClients(Supplier<InetSocketAddress> front, int count) {
+  /** Starts so many clients of this class at once. */
+  public ShortClients(Supplier<InetSocketAddress> front, int count, String className) {
     this.front = front;
+    this.className = className;
     for (int i = 0; i < count; i++) {
       Thread thread = new Thread(null, this::run, "client-" + i, 256 * 1024);
       thread.setDaemon(true);
@@ -56,7 +58,7 @@
     long started = System.nanoTime();
     try (Lines lines = Lines.to(front.get())) {
       lines.patience(DEADLINE_MILLIS + SLACK_MILLIS);
-      lines.write("OPEN " + id + " " + key + " c=chat,d=" + DEADLINE_MILLIS + ",g=" + key);
+      lines.write("OPEN " + id + " " + key + " c=" + className + ",d=" + DEADLINE_MILLIS + ",g=" + key);
       String answer;
       try {
         answer = lines.read();
--- a/lab/src/main/java/lemondeal/lab/measure/ConsulReport.java
+++ b/lab/src/main/java/lemondeal/lab/measure/ConsulReport.java
@@ -54,21 +54,21 @@
         | change | plays | median ms | 99th ms | worst ms | after 1 s |
         | --- | --- | --- | --- | --- | --- |
         """);
-    try (ConsulSite site = new ConsulSite(3, 8, DAMPING); ShortClients clients = new ShortClients(site::front, 24)) {
+    try (ConsulSite site = new ConsulSite(3, 8, DAMPING); ShortClients clients = new ShortClients(site::front, 24, ConsulSite.CLASS)) {
       ConsulStandIn consul = site.consul();
       List<Kind> kinds = List.of(
-          new Kind("critical check", key -> consul.status(key, "critical"), key -> consul.status(key, "passing")),
-          new Kind("node leaves (serfHealth)", key -> consul.check(key, "serfHealth", "critical"),
-              key -> consul.check(key, "serfHealth", "passing")),
-          new Kind("maintenance", key -> consul.maintenance(key, true), key -> consul.maintenance(key, false)),
-          new Kind("warning with weight 0", key -> consul.status(key, "warning"), key -> consul.status(key, "passing")));
+          new Kind("critical check", key -> consul.catalogue().status(key, "critical"), key -> consul.catalogue().status(key, "passing")),
+          new Kind("node leaves (serfHealth)", key -> consul.catalogue().check(key, "serfHealth", "critical"),
+              key -> consul.catalogue().check(key, "serfHealth", "passing")),
+          new Kind("maintenance", key -> consul.catalogue().maintenance(key, true), key -> consul.catalogue().maintenance(key, false)),
+          new Kind("warning with weight 0", key -> consul.catalogue().status(key, "warning"), key -> consul.catalogue().status(key, "passing")));
       for (Kind kind : kinds) {
         Histogram delays = new Histogram(3);
         int late = 0;
         for (int play = 0; play < repeats; play++) {
           String name = "s-" + (1 + play % 8);
           if (kind.name().startsWith("warning")) {
-            consul.change(site.key(name), instance -> instance.warningWeight(0));
+            consul.catalogue().change(site.key(name), instance -> instance.warningWeight(0));
           }
           long delay = drain(site, name, kind.change());
           delays.recordValue(delay);
@@ -120,7 +120,7 @@
         List<String> keys = new ArrayList<>();
         for (int i = 0; i < size; i++) {
           // Nothing listens there: with no clients nothing is dialled.
-          keys.add(consul.register("node-" + i, "127.0.0.1", ConsulSite.SERVICE, "x-" + i, 1 + i % 60_000));
+          keys.add(consul.catalogue().register("node-" + i, "127.0.0.1", ConsulSite.SERVICE, "x-" + i, 1 + i % 60_000));
         }
         site.startProxy(0, 1);
         ServeProcess proxy = site.proxies().get(0);
@@ -135,7 +135,7 @@
           if (System.nanoTime() >= nextChange) {
             for (int i = 0; i < changes; i++) {
               String key = keys.get((turn * changes + i) % size);
-              consul.status(key, turn % 2 == 0 ? "critical" : "passing");
+              consul.catalogue().status(key, turn % 2 == 0 ? "critical" : "passing");
             }
             turn++;
             nextChange += 1000 * MILLI;
@@ -190,7 +190,7 @@
         long before = consul.calls();
         long end = System.nanoTime() + seconds * 1000 * MILLI;
         for (int turn = 0; System.nanoTime() < end; turn++) {
-          consul.status(site.key("s-" + (1 + turn % 8)), turn % 16 < 8 ? "warning" : "passing");
+          consul.catalogue().status(site.key("s-" + (1 + turn % 8)), turn % 16 < 8 ? "warning" : "passing");
           Thread.sleep(1000);
         }
         double calm = (consul.calls() - before) / (double) seconds;
--- a/lab/src/main/java/lemondeal/lab/stream/StreamSite.java
+++ b/lab/src/main/java/lemondeal/lab/stream/StreamSite.java
@@ -15,7 +15,7 @@
 import lemondeal.lab.Listing;
 import lemondeal.lab.ServeProcess;
 import lemondeal.lab.claims.ClaimStoreServer;
-import lemondeal.lab.claims.TestAuthority;
+import lemondeal.lab.TestAuthority;
 
 /** A small site on loopback: real proxies in processes of their own, stand-in servers, discovery and claim store. */
 public final class StreamSite implements AutoCloseable {
--- a/lab/src/test/java/lemondeal/lab/claims/FleetStoreTest.java
+++ b/lab/src/test/java/lemondeal/lab/claims/FleetStoreTest.java
@@ -23,6 +23,7 @@
 import lemondeal.claims.ClaimAnswer;
 import lemondeal.claims.FleetStore;
 import lemondeal.config.TlsFiles;
+import lemondeal.lab.TestAuthority;
 import lemondeal.log.PlainLog;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
--- /dev/null
+++ b/lab/src/test/java/lemondeal/lab/consul/JudgedStandInTest.java
@@ -0,0 +1,226 @@
+package lemondeal.lab.consul;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.math.BigInteger;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.io.InputStream;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import lemondeal.consul.HealthAnswer;
+import lemondeal.consul.Mapping;
+import lemondeal.membership.Health;
+import lemondeal.membership.Member;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.kiwiproject.consul.AgentClient;
+import org.kiwiproject.consul.Consul;
+import org.kiwiproject.consul.ConsulException;
+import org.kiwiproject.consul.HealthClient;
+import org.kiwiproject.consul.model.ConsulResponse;
+import org.kiwiproject.consul.model.State;
+import org.kiwiproject.consul.model.agent.ImmutableRegistration;
+import org.kiwiproject.consul.model.catalog.ImmutableServiceWeights;
+import org.kiwiproject.consul.model.health.HealthCheck;
+import org.kiwiproject.consul.model.health.ServiceHealth;
+import org.kiwiproject.consul.option.ConsistencyMode;
+import org.kiwiproject.consul.option.ImmutableQueryOptions;
+import org.kiwiproject.consul.option.QueryOptions;
+
+/**
+ * A client library of Consul's from the registry drives the stand-in: registers, sets checks, asks in every way that the
+ * proxy asks. What the library sees and what the proxy's own reading makes of the same answers is compared at each step.
+ */
+@Timeout(60)
+class JudgedStandInTest {
+  private ConsulStandIn standIn;
+  private Consul library;
+  private AgentClient agent;
+  private HealthClient health;
+
+  @BeforeEach
+  void start() throws Exception {
+    standIn = new ConsulStandIn();
+    library = Consul.builder().withUrl("http://127.0.0.1:" + standIn.address().getPort()).withPing(true)
+        .withReadTimeoutMillis(20_000).build();
+    agent = library.agentClient();
+    health = library.healthClient();
+  }
+
+  @AfterEach
+  void end() {
+    library.destroy();
+    standIn.close();
+  }
+
+  private void register(String id, int port, String... tags) {
+    agent.register(ImmutableRegistration.builder().name("link").id(id).port(port).addTags(tags)
+        .putMeta("pool", port % 2 == 0 ? "even" : "odd")
+        .serviceWeights(ImmutableServiceWeights.builder().passing(10).warning(2).build()).build());
+  }
+
+  /** What the proxy's parser and mapping make of the answer to these words. */
+  private Map<String, String> proxySees(String query) throws Exception {
+    HttpResponse<InputStream> answer = HttpClient.newHttpClient().send(HttpRequest.newBuilder(URI.create(
+        "http://127.0.0.1:" + standIn.address().getPort() + "/v1/health/service/link" + query))
+        .timeout(Duration.ofSeconds(10)).build(), HttpResponse.BodyHandlers.ofInputStream());
+    assertEquals(200, answer.statusCode());
+    Map<String, String> seen = new TreeMap<>();
+    new HealthAnswer(1000).read(answer.body(), entry -> {
+      try {
+        Member member = Mapping.DEFAULT.member(entry);
+        seen.put(member.id(), member.health() + " " + member.address().getPort() + " " + member.passingWeight() + "/"
+            + member.warningWeight());
+      } catch (Mapping.Unusable e) {
+        throw new AssertionError(e);
+      }
+    });
+    return seen;
+  }
+
+  private static Map<String, String> librarySees(List<ServiceHealth> answer) {
+    Map<String, String> seen = new TreeMap<>();
+    for (ServiceHealth one : answer) {
+      List<String> statuses = one.getChecks().stream().map(HealthCheck::getStatus).toList();
+      boolean maintenance = one.getChecks().stream().anyMatch(check -> check.getCheckId().contains("_maintenance"));
+      Health worst = maintenance ? Health.MAINTENANCE : statuses.contains("critical") ? Health.CRITICAL
+          : statuses.contains("warning") ? Health.WARNING : Health.PASSING;
+      seen.put(one.getNode().getNode() + "/" + one.getService().getId(), worst + " " + one.getService().getPort() + " "
+          + one.getService().getWeights().orElseThrow().getPassing() + "/"
+          + one.getService().getWeights().orElseThrow().getWarning());
+    }
+    return seen;
+  }
+
+  private void bothSee(String... expected) throws Exception {
+    Map<String, String> library = librarySees(health.getAllServiceInstances("link").getResponse());
+    assertEquals(library, proxySees(""));
+    assertEquals(List.of(expected), library.entrySet().stream().map(one -> one.getKey() + " " + one.getValue()).toList());
+  }
+
+  @Test
+  void theLibraryAndTheProxySeeTheSameAtEachStep() throws Exception {
+    assertEquals("127.0.0.1:8300", library.statusClient().getLeader());
+    register("a", 7001, "primary", "zone=a");
+    register("b", 7002);
+    bothSee("agent-node/a PASSING 7001 10/2", "agent-node/b PASSING 7002 10/2");
+    agent.fail("a");
+    bothSee("agent-node/a CRITICAL 7001 10/2", "agent-node/b PASSING 7002 10/2");
+    agent.warn("a");
+    bothSee("agent-node/a WARNING 7001 10/2", "agent-node/b PASSING 7002 10/2");
+    agent.pass("a");
+    agent.toggleMaintenanceMode("b", true);
+    bothSee("agent-node/a PASSING 7001 10/2", "agent-node/b MAINTENANCE 7002 10/2");
+    assertEquals(List.of("a"), health.getHealthyServiceInstances("link").getResponse().stream()
+        .map(one -> one.getService().getId()).toList(), "passing alone");
+    agent.toggleMaintenanceMode("b", false);
+    standIn.catalogue().check("agent-node/a", "serfHealth", "critical");
+    bothSee("agent-node/a CRITICAL 7001 10/2", "agent-node/b PASSING 7002 10/2");
+    assertEquals(List.of("serfHealth"), health.getChecksByState(State.FAIL).getResponse().stream()
+        .map(HealthCheck::getCheckId).toList());
+    agent.deregister("b");
+    bothSee("agent-node/a CRITICAL 7001 10/2");
+    assertEquals(List.of("agent-node"), library.catalogClient().getNodes().getResponse().stream()
+        .map(node -> node.getNode()).toList());
+    var listed = library.catalogClient().getService("link").getResponse().get(0);
+    assertEquals(7001, listed.getServicePort());
+    assertEquals(List.of("primary", "zone=a"), listed.getServiceTags());
+    assertEquals(Map.of("pool", "odd"), listed.getServiceMeta());
+    assertEquals(List.of(), health.getAllServiceInstances("nobody").getResponse());
+  }
+
+  /** A blocking query ends with the change, and with its wait where nothing changes; the index only grows. */
+  @Test
+  void blockingQueriesWaitForTheChange() throws Exception {
+    register("a", 7001);
+    BigInteger index = health.getAllServiceInstances("link").getIndex();
+    CompletableFuture<ConsulResponse<List<ServiceHealth>>> waiting = CompletableFuture.supplyAsync(() ->
+        health.getAllServiceInstances("link", QueryOptions.blockSeconds(15, index).build()));
+    agent.fail("a");
+    ConsulResponse<List<ServiceHealth>> changed = waiting.get(10, TimeUnit.SECONDS);
+    assertTrue(changed.getIndex().compareTo(index) > 0);
+    assertTrue(changed.isKnownLeader());
+    assertEquals(0, changed.getLastContact());
+    assertEquals(Health.CRITICAL + " 7001 10/2", librarySees(changed.getResponse()).get("agent-node/a"));
+    register("other-service-does-not-count", 7003);
+    ConsulResponse<List<ServiceHealth>> same = health.getAllServiceInstances("link",
+        ImmutableQueryOptions.builder().from(QueryOptions.blockSeconds(1, changed.getIndex()).build()).build());
+    assertTrue(same.getIndex().compareTo(changed.getIndex()) >= 0);
+    BigInteger last = same.getIndex();
+    assertEquals(last, health.getAllServiceInstances("link", QueryOptions.blockSeconds(1, last).build()).getIndex(),
+        "nothing changed, and the wait was over");
+  }
+
+  /** The expressions that an operator may write pick the same entries through the library and through the proxy. */
+  @Test
+  void filtersPickTheSame() throws Exception {
+    register("a", 7001, "primary");
+    register("b", 7002);
+    register("c", 7003, "primary", "old");
+    agent.fail("c");
+    Map<String, String> expected = new TreeMap<>(Map.of("Service.Meta.pool == odd", "ac",
+        "primary in Service.Tags and not (\"old\" in Service.Tags)", "a", "Service.Tags is empty", "b",
+        "Checks.Status == critical", "c", "Service.Port != 7002 or Service.ID matches \"^b\"", "abc",
+        "Service.Meta contains pool", "abc", "Service.Meta.none == x", "", "Service.Meta.none != x", "abc"));
+    for (Map.Entry<String, String> one : expected.entrySet()) {
+      QueryOptions options = ImmutableQueryOptions.builder().filter(one.getKey()).build();
+      List<ServiceHealth> answer = health.getAllServiceInstances("link", options).getResponse();
+      assertEquals(one.getValue(), answer.stream().map(entry -> entry.getService().getId()).sorted()
+          .collect(Collectors.joining()), one.getKey());
+      assertEquals(librarySees(answer), proxySees("?filter=" + URLEncoder.encode(one.getKey(), StandardCharsets.UTF_8)));
+    }
+    ConsulException refused = assertThrows(ConsulException.class, () -> health.getAllServiceInstances("link",
+        ImmutableQueryOptions.builder().filter("Service.Nothing == x").build()));
+    assertEquals(400, refused.getCode());
+  }
+
+  /** Modes of consistency, datacenters and tokens, as Consul takes or refuses them. */
+  @Test
+  void refusalsAreConsuls() throws Exception {
+    register("a", 7001);
+    for (ConsistencyMode mode : List.of(ConsistencyMode.DEFAULT, ConsistencyMode.STALE, ConsistencyMode.CONSISTENT)) {
+      assertEquals(1, health.getAllServiceInstances("link", ImmutableQueryOptions.builder().consistencyMode(mode).build())
+          .getResponse().size());
+    }
+    assertEquals(Optional.of(500), code(ImmutableQueryOptions.builder().datacenter("mars").build()));
+    standIn.tokens("t"::equals);
+    assertEquals(Optional.of(403), code(ImmutableQueryOptions.builder().build()));
+    assertEquals(Optional.empty(), code(ImmutableQueryOptions.builder().token("t").build()));
+    standIn.tokens(token -> true);
+    List<Optional<Integer>> moods = new ArrayList<>();
+    for (ConsulStandIn.Mood mood : List.of(ConsulStandIn.Mood.FAILS, ConsulStandIn.Mood.TOO_OFTEN)) {
+      standIn.mood(mood);
+      moods.add(code(ImmutableQueryOptions.builder().build()));
+    }
+    assertEquals(List.of(Optional.of(500), Optional.of(429)), moods);
+    standIn.mood(ConsulStandIn.Mood.NO_LEADER);
+    assertEquals(false, health.getAllServiceInstances("link").isKnownLeader());
+    standIn.mood(ConsulStandIn.Mood.STALE);
+    assertEquals(60_000, health.getAllServiceInstances("link").getLastContact());
+  }
+
+  private Optional<Integer> code(QueryOptions options) {
+    try {
+      health.getAllServiceInstances("link", options);
+      return Optional.empty();
+    } catch (ConsulException e) {
+      return Optional.of(e.getCode());
+    }
+  }
+}
