Emulate the site in virtual time, with baselines and checkers, and run experiments from a file

Checkers: one final answer, one attempt, drains, cold starts, known servers; a breach names its time, subject and the events before. Baselines behind the same interface: random, round robin, least connections, two choices, rendezvous, bounded ring, Maglev, full knowledge with moves.

--- a/lab/src/main/java/lemondeal/lab/Lab.java
+++ b/lab/src/main/java/lemondeal/lab/Lab.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.Callable;
 import lemondeal.lab.claims.ClaimStoreServer;
 import lemondeal.lab.consul.ConsulConsole;
+import lemondeal.lab.experiment.ExperimentCommands;
 import lemondeal.lab.measure.Reports;
 import lemondeal.lab.stream.DrainDay;
 import picocli.CommandLine;
@@ -16,7 +17,8 @@
 /** The lab's command line: stand-ins to start by hand, and measurements. Never on the platform. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Stand-ins and measurements.",
     subcommands = {Lab.Drains.class, Lab.MeasureResume.class, Lab.MeasureConsul.class, Lab.ClaimStore.class,
-        Lab.Consul.class})
+        Lab.Consul.class, ExperimentCommands.Run.class, ExperimentCommands.Compare.class,
+        ExperimentCommands.Results.class})
 public final class Lab implements Runnable {
   @CommandLine.Spec
   private CommandLine.Model.CommandSpec spec;
@@ -27,7 +29,8 @@
 
   @Override
   public void run() {
-    throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing: drain-day, measure-resume, claim-store or consul");
+    throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing: "
+        + String.join(", ", spec.subcommands().keySet()));
   }
 
   /** {@code drain-day}. */
--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/emulator/Draws.java
@@ -0,0 +1,82 @@
+package lemondeal.lab.emulator;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.zip.CRC32C;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.sampling.distribution.ContinuousSampler;
+import org.apache.commons.rng.sampling.distribution.RejectionInversionZipfSampler;
+import org.apache.commons.rng.sampling.distribution.ZigguratSampler;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * All random numbers of a run: one seed, and a stream of its own for each purpose, made of the seed and the purpose's
+ * name. A change in one part of the emulator leaves the draws of the others alone, so that runs with one seed stay
+ * comparable. Generators and distributions are those of Commons RNG.
+ */
+public final class Draws {
+  private final long seed;
+  private final Map<String, UniformRandomProvider> streams = new HashMap<>();
+
+  public Draws(long seed) {
+    this.seed = seed;
+  }
+
+  /** The stream of this purpose; the same one each time. */
+  public UniformRandomProvider stream(String purpose) {
+    return streams.computeIfAbsent(purpose, this::open);
+  }
+
+  private UniformRandomProvider open(String purpose) {
+    CRC32C name = new CRC32C();
+    name.update(purpose.getBytes(StandardCharsets.UTF_8));
+    long mixed = seed * 0x9e3779b97f4a7c15L + name.getValue() * 0xbf58476d1ce4e5b9L + purpose.length();
+    return RandomSource.XO_RO_SHI_RO_128_PP.create(mixed);
+  }
+
+  /** Gaps of a Poisson process and lives without memory, of mean 1. */
+  public ContinuousSampler exponential(String purpose) {
+    return ZigguratSampler.Exponential.of(stream(purpose));
+  }
+
+  /** Log-normal values of this mean; a sigma of 0 always gives the mean. */
+  public ContinuousSampler logNormal(String purpose, double mean, double sigma) {
+    ZigguratSampler.NormalizedGaussian gaussian = ZigguratSampler.NormalizedGaussian.of(stream(purpose));
+    double shift = Math.log(mean) - sigma * sigma / 2;
+    return () -> StrictMath.exp(shift + sigma * gaussian.sample());
+  }
+
+  /** Places from 0 below {@code count}, the first the most common (Zipf); an exponent of 0 makes all alike. */
+  public java.util.function.IntSupplier zipf(String purpose, int count, double exponent) {
+    if (exponent <= 0) {
+      UniformRandomProvider stream = stream(purpose);
+      return () -> stream.nextInt(count);
+    }
+    var sampler = RejectionInversionZipfSampler.of(stream(purpose), count, exponent);
+    return () -> sampler.sample() - 1;
+  }
+
+  /** Places of the weights, each as often as its weight says. */
+  public java.util.function.IntSupplier weighted(String purpose, double[] weights) {
+    double total = 0;
+    for (double weight : weights) {
+      total += weight;
+    }
+    double[] cumulative = new double[weights.length];
+    double sum = 0;
+    for (int i = 0; i < weights.length; i++) {
+      sum += weights[i] / total;
+      cumulative[i] = i == weights.length - 1 ? 1 : sum;
+    }
+    UniformRandomProvider stream = stream(purpose);
+    return () -> {
+      double draw = stream.nextDouble();
+      int low = 0;
+      while (cumulative[low] < draw) {
+        low++;
+      }
+      return low;
+    };
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/emulator/policy/Hashes.java
@@ -0,0 +1,27 @@
+package lemondeal.lab.emulator.policy;
+
+import java.nio.charset.StandardCharsets;
+import org.apache.commons.codec.digest.MurmurHash3;
+
+/** Hashes of names and keys for the baselines: MurmurHash3 of the text, and a finalizer to join two of them. */
+final class Hashes {
+  private Hashes() {}
+
+  static long of(String text) {
+    byte[] bytes = text.getBytes(StandardCharsets.UTF_8);
+    return MurmurHash3.hash128x64(bytes, 0, bytes.length, 0)[0];
+  }
+
+  /** Joins two hashes so that every bit of both reaches every bit (the finalizer of MurmurHash3). */
+  static long join(long one, long other) {
+    long h = one ^ Long.rotateLeft(other, 32) * 0x9e3779b97f4a7c15L;
+    h = (h ^ (h >>> 33)) * 0xff51afd7ed558ccdL;
+    h = (h ^ (h >>> 33)) * 0xc4ceb9fe1a85ec53L;
+    return h ^ (h >>> 33);
+  }
+
+  /** A hash as a number strictly between 0 and 1. */
+  static double unit(long hash) {
+    return ((hash >>> 12) + 0.5) * 0x1.0p-52;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/experiment/Condition.java
@@ -0,0 +1,41 @@
+package lemondeal.lab.experiment;
+
+import java.util.Locale;
+import java.util.Map;
+
+/** What an experiment's author expects, such as {@code served of lemondeal >= 0.8}; held to the means over the seeds. */
+record Condition(String text, Side left, String comparison, Side right) {
+
+  /**
+   * One side: a number, or a figure of a policy times a number.
+   *
+   * @param figure null for a number
+   * @param policy null for the experiment's first policy
+   */
+  record Side(String figure, String policy, double number) {}
+
+  /** How it came out. */
+  record Verdict(String condition, boolean holds, String why) {}
+
+  /**
+   * @param means by policy, then by figure
+   * @param first the policy that is meant where none is named
+   */
+  Verdict judge(Map<String, Map<String, Double>> means, String first) {
+    double one = value(left, means, first);
+    double other = value(right, means, first);
+    boolean holds = switch (comparison) {
+      case "<" -> one < other;
+      case "<=" -> one <= other;
+      case ">" -> one > other;
+      case ">=" -> one >= other;
+      default -> one == other;
+    };
+    return new Verdict(text, holds, String.format(Locale.ROOT, "%.4g against %.4g", one, other));
+  }
+
+  private static double value(Side side, Map<String, Map<String, Double>> means, String first) {
+    return side.figure() == null ? side.number()
+        : side.number() * means.get(side.policy() == null ? first : side.policy()).get(side.figure());
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/experiment/Statistics.java
@@ -0,0 +1,50 @@
+package lemondeal.lab.experiment;
+
+import java.util.List;
+import org.apache.commons.statistics.distribution.TDistribution;
+
+/** Means with their confidence intervals, and differences of paired runs (Student's t; 95%). */
+final class Statistics {
+  private static final double TAIL = 0.025;
+
+  /**
+   * A mean and how far the true one may lie from it.
+   *
+   * @param half half the width of the 95% interval; not a number for a single value
+   */
+  record Mean(double mean, double half, int count) {
+    /** Whether the interval leaves 0 out: only then is a difference called one. */
+    boolean isClear() {
+      return count > 1 && Math.abs(mean) > half;
+    }
+  }
+
+  private Statistics() {}
+
+  static Mean mean(List<Double> values) {
+    int count = values.size();
+    double sum = 0;
+    for (double value : values) {
+      sum += value;
+    }
+    double mean = sum / count;
+    if (count < 2) {
+      return new Mean(mean, Double.NaN, count);
+    }
+    double squares = 0;
+    for (double value : values) {
+      squares += (value - mean) * (value - mean);
+    }
+    double error = Math.sqrt(squares / (count - 1) / count);
+    return new Mean(mean, error * TDistribution.of(count - 1).inverseSurvivalProbability(TAIL), count);
+  }
+
+  /** The mean of the differences of two lists, paired by place. */
+  static Mean difference(List<Double> one, List<Double> other) {
+    List<Double> differences = new java.util.ArrayList<>();
+    for (int i = 0; i < one.size(); i++) {
+      differences.add(one.get(i) - other.get(i));
+    }
+    return mean(differences);
+  }
+}
