Compare placements by experiment: slow servers, cold starts, dying proxies, growth to a thousand

lab placement: shares by weight and moved keys for lemondeal, rendezvous, modulo, CARP, ring and Maglev. Points of an experiment may change several things together; modulo, CARP and the plain ring are baselines.

--- a/lab/src/main/java/lemondeal/lab/Lab.java
+++ b/lab/src/main/java/lemondeal/lab/Lab.java
@@ -18,7 +18,7 @@
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Stand-ins and measurements.",
     subcommands = {Lab.Drains.class, Lab.MeasureResume.class, Lab.MeasureConsul.class, Lab.ClaimStore.class,
         Lab.Consul.class, ExperimentCommands.Run.class, ExperimentCommands.Compare.class,
-        ExperimentCommands.Results.class})
+        ExperimentCommands.Results.class, ExperimentCommands.Placement.class})
 public final class Lab implements Runnable {
   @CommandLine.Spec
   private CommandLine.Model.CommandSpec spec;
--- a/lab/src/main/java/lemondeal/lab/consul/LinkServer.java
+++ b/lab/src/main/java/lemondeal/lab/consul/LinkServer.java
@@ -23,6 +23,7 @@
   private final AtomicLong lastOpenNanos = new AtomicLong();
   private final AtomicInteger receipts = new AtomicInteger();
   private volatile boolean closed;
+  private volatile int upAfterMillis;
 
   public LinkServer() throws IOException {
     socket = new ServerSocket(0, 512, InetAddress.getLoopbackAddress());
@@ -39,6 +40,11 @@
     return (InetSocketAddress) socket.getLocalSocketAddress();
   }
 
+  /** From now on a set-up takes so long. */
+  public void upAfter(int millis) {
+    upAfterMillis = millis;
+  }
+
   /** First lines that came. */
   public int opened() {
     return opened.get();
@@ -87,12 +93,15 @@
       }
       this.opened.incrementAndGet();
       lastOpenNanos.set(System.nanoTime());
+      Thread.sleep(upAfterMillis);
       lines.write("UP r" + receipts.incrementAndGet());
       for (line = lines.read(); line != null; line = lines.read()) {
         lines.write("ECHO " + line);
       }
     } catch (IOException e) {
       // The client left.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     } finally {
       connections.remove(opened);
     }
--- a/lab/src/main/java/lemondeal/lab/experiment/Charts.java
+++ b/lab/src/main/java/lemondeal/lab/experiment/Charts.java
@@ -18,6 +18,7 @@
 import org.jfree.chart.plot.XYPlot;
 import org.jfree.chart.renderer.category.StatisticalBarRenderer;
 import org.jfree.chart.renderer.category.StatisticalLineAndShapeRenderer;
+import org.jfree.chart.renderer.xy.XYLineAndShapeRenderer;
 import org.jfree.data.statistics.DefaultStatisticalCategoryDataset;
 import org.jfree.data.xy.XYSeries;
 import org.jfree.data.xy.XYSeriesCollection;
@@ -84,19 +85,30 @@
     plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
     plot.setDomainGridlinePaint(Color.LIGHT_GRAY);
     ((NumberAxis) plot.getRangeAxis()).setAutoRangeIncludesZero(false);
+    XYLineAndShapeRenderer lines = new XYLineAndShapeRenderer(true, false);
+    lines.setDrawSeriesLineAsPath(true);
     for (int i = 0; i < data.getSeriesCount(); i++) {
-      plot.getRenderer().setSeriesPaint(i, COLOURS[i % COLOURS.length]);
-      plot.getRenderer().setSeriesStroke(i, new BasicStroke(1.6f));
+      lines.setSeriesPaint(i, COLOURS[i % COLOURS.length]);
+      lines.setSeriesStroke(i, new BasicStroke(1.6f));
     }
+    plot.setRenderer(lines);
     write(file, chart);
   }
 
+  /** A hundredth of a pixel is enough. */
+  private static String number(double value) {
+    double rounded = Math.round(value * 100) / 100.0;
+    return rounded == Math.rint(rounded) ? Long.toString((long) rounded) : Double.toString(rounded);
+  }
+
   private static void write(Path file, JFreeChart chart) throws IOException {
     chart.setBackgroundPaint(Color.WHITE);
     chart.getTitle().setFont(new Font(Font.SANS_SERIF, Font.BOLD, 15));
     SVGGraphics2D svg = new SVGGraphics2D(WIDTH, HEIGHT);
     // Ids of clips are random otherwise, and two runs that brought the same would differ.
     svg.setDefsKeyPrefix("c");
+    svg.setGeomDoubleConverter(Charts::number);
+    svg.setTransformDoubleConverter(Charts::number);
     chart.draw(svg, new Rectangle2D.Double(0, 0, WIDTH, HEIGHT));
     Files.writeString(file, svg.getSVGDocument());
   }
--- a/lab/src/main/java/lemondeal/lab/experiment/ExperimentReader.java
+++ b/lab/src/main/java/lemondeal/lab/experiment/ExperimentReader.java
@@ -105,9 +105,17 @@
 
   // ---- Sweeps -----------------------------------------------------------------------------------
 
-  /** Every combination of the sweep's values, each put where its path leads. */
+  /** Every point with every combination of the sweep's values, each value put where its path leads. */
   private List<Experiment.Point> points(JsonNode root) {
-    List<Map<String, JsonNode>> combinations = new ArrayList<>(List.of(new LinkedHashMap<>()));
+    List<Map<String, JsonNode>> combinations = new ArrayList<>();
+    for (JsonNode point : root.path("points")) {
+      Map<String, JsonNode> values = new LinkedHashMap<>();
+      point.fields().forEachRemaining(one -> values.put(one.getKey(), one.getValue()));
+      combinations.add(values);
+    }
+    if (combinations.isEmpty()) {
+      combinations.add(new LinkedHashMap<>());
+    }
     root.path("sweep").fields().forEachRemaining(one -> {
       List<Map<String, JsonNode>> more = new ArrayList<>();
       for (Map<String, JsonNode> before : combinations) {
@@ -126,7 +134,10 @@
       Map<String, String> shown = new LinkedHashMap<>();
       values.forEach((where, value) -> {
         put(copy.path("scenario"), where, value);
-        shown.put(where, value.asText());
+        // Of a point that changes several things together the first names it; a sweep's values all do.
+        if (shown.isEmpty() || root.path("sweep").has(where)) {
+          shown.put(where, value.asText());
+        }
       });
       ExperimentFile.faults(copy).forEach(what -> fault("sweep " + shown, what));
       if (faults.isEmpty()) {
--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/experiment/PlacementTable.java
@@ -0,0 +1,126 @@
+package lemondeal.lab.experiment;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import lemondeal.Balancer;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.Established;
+import lemondeal.Balancer.ListKind;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.Request;
+import lemondeal.Balancer.Send;
+import lemondeal.Balancer.ServerEntry;
+import lemondeal.Balancer.ServerList;
+import lemondeal.Balancer.ServerState;
+import lemondeal.Balancer.Start;
+import lemondeal.lab.emulator.policy.Policies;
+
+/**
+ * The claims of "Weighted HRW and its applications" as one table: how near each server's share of the keys comes to its
+ * weight, and how many keys move when a server leaves, joins or changes its weight, beside what has to move at least.
+ * Keys are placed by the policies themselves, one after the other, with nothing open and nothing failing.
+ */
+final class PlacementTable {
+  private static final long SECOND = 1_000_000;
+  private static final List<String> POLICIES = List.of("lemondeal", "rendezvous", "modulo", "carp", "ring", "maglev");
+
+  private final int keys;
+  private final double[] weights;
+
+  PlacementTable(int keys, double[] weights) {
+    this.keys = keys;
+    this.weights = weights.clone();
+  }
+
+  /** Markdown. */
+  String markdown() {
+    double total = 0;
+    for (double weight : weights) {
+      total += weight;
+    }
+    int last = weights.length - 1;
+    double[] without = weights.clone();
+    without[0] = 0;
+    double[] more = java.util.Arrays.copyOf(weights, weights.length + 1);
+    more[weights.length] = weights[0];
+    double[] heavier = weights.clone();
+    heavier[last] *= 2;
+    StringBuilder table = new StringBuilder(String.format(Locale.ROOT, """
+        %d keys, %d servers. Shares: the largest distance of a server's share of the keys from its share of the weights, as a
+        part of the latter. Moved: the share of all keys that go to another server than before.
+
+        | policy | shares | moved: first leaves | moved: one joins | moved: last twice as heavy |
+        | --- | --- | --- | --- | --- |
+        | what must be | 0.000 | %.4f | %.4f | %.4f |
+        """, keys, weights.length, weights[0] / total, weights[0] / (total + weights[0]),
+        2 * weights[last] / (total + weights[last]) - weights[last] / total));
+    for (String policy : POLICIES) {
+      Map<String, String> before = placed(policy, weights);
+      table.append(String.format(Locale.ROOT, "| %s | %.3f | %.4f | %.4f | %.4f |%n", policy, error(before, total),
+          moved(before, placed(policy, without)), moved(before, placed(policy, more)),
+          moved(before, placed(policy, heavier))));
+    }
+    return table.toString();
+  }
+
+  private double error(Map<String, String> placed, double total) {
+    Map<String, Integer> counts = new HashMap<>();
+    placed.values().forEach(server -> counts.merge(server, 1, Integer::sum));
+    double worst = 0;
+    for (int i = 0; i < weights.length; i++) {
+      double share = counts.getOrDefault(name(i), 0) / (double) keys;
+      worst = Math.max(worst, Math.abs(share / (weights[i] / total) - 1));
+    }
+    return worst;
+  }
+
+  private double moved(Map<String, String> before, Map<String, String> after) {
+    int moved = 0;
+    for (Map.Entry<String, String> one : before.entrySet()) {
+      moved += one.getValue().equals(after.get(one.getKey())) ? 0 : 1;
+    }
+    return moved / (double) keys;
+  }
+
+  private static String name(int server) {
+    return "10.0.0." + server + ":80";
+  }
+
+  /** The server of each key, as a proxy with this list places it. */
+  private Map<String, String> placed(String policy, double[] listed) {
+    Balancer module = Policies.named(policy).make(0, null);
+    Balancer.RequestClass any = new Balancer.RequestClass(Balancer.Effect.SAFE, Balancer.RepeatScope.ALL, 0, SECOND,
+        2 * SECOND, 1, 0);
+    module.on(0, new Start(1, new Balancer.Settings(0, 1, 0, List.of(any), List.of(),
+        new Balancer.Rules(20_000, SECOND, 4, 2 * SECOND, 1, 0, 0),
+        new Balancer.Limits(1, true, false, false, false, true, SECOND, SECOND), new Balancer.Prices(0, 0, 0, 0, 0),
+        Balancer.WeightMeaning.NOMINAL, true, false, false, false, false, 1)));
+    List<ServerEntry> entries = new ArrayList<>();
+    for (int i = 0; i < listed.length; i++) {
+      if (listed[i] > 0) {
+        entries.add(new ServerEntry(name(i), 0, 0, 0, 0, ServerState.READY, listed[i]));
+      }
+    }
+    module.on(0, new ServerList(1, ListKind.FULL, entries));
+    Map<String, String> placed = new HashMap<>();
+    for (int i = 0; i < keys; i++) {
+      String key = "key-" + i;
+      // Far enough apart that nothing of the request before counts any more.
+      long now = (i + 1) * SECOND;
+      for (Action action : module.on(now, new Arrived(new Request(key, now + 2 * SECOND, 0, key, null, Double.NaN, false,
+          false, 0, false)))) {
+        if (action instanceof Send send) {
+          placed.put(key, send.server());
+          module.on(now + 1_000, new Established(key, 0, send.server(), 1_000));
+          module.on(now + 2_000, new Ended(key, 0, send.server(), Outcome.SERVED, 2_000, true, null));
+        }
+      }
+    }
+    return placed;
+  }
+}
