--- a/lab/src/main/java/lemondeal/lab/experiment/Charts.java
+++ b/lab/src/main/java/lemondeal/lab/experiment/Charts.java
@@ -70,15 +70,19 @@
     write(file, chart);
   }
 
-  /** The share of the worth served over time, the mean of all seeds, a line a policy. */
-  static void course(Path file, Map<String, List<double[]>> byPolicy) throws IOException {
+  /**
+   * The share of the worth served over time, the mean of all seeds, a line a policy.
+   *
+   * @param point of the sweep, "" where there is one alone
+   */
+  static void course(Path file, String point, Map<String, List<double[]>> byPolicy) throws IOException {
     XYSeriesCollection data = new XYSeriesCollection();
     byPolicy.forEach((policy, course) -> {
       XYSeries series = new XYSeries(policy);
       course.forEach(at -> series.add(at[0], at[1]));
       data.addSeries(series);
     });
-    JFreeChart chart = ChartFactory.createXYLineChart("share of the worth served", "seconds", null, data,
+    JFreeChart chart = ChartFactory.createXYLineChart("share of the worth served" + (point.isEmpty() ? "" : ", " + point), "seconds", null, data,
         PlotOrientation.VERTICAL, true, false, false);
     XYPlot plot = chart.getXYPlot();
     plot.setBackgroundPaint(Color.WHITE);
--- a/lab/src/main/java/lemondeal/lab/experiment/Report.java
+++ b/lab/src/main/java/lemondeal/lab/experiment/Report.java
@@ -167,7 +167,7 @@
     for (String policy : experiment.policies()) {
       courses.put(policy, course(policy, experiment.points().get(0).name()));
     }
-    Charts.course(folder.resolve("course.svg"), courses);
+    Charts.course(folder.resolve("course.svg"), experiment.points().get(0).name(), courses);
   }
 
   /** The mean course of all seeds. */
