Begin runs with servers that were there already, and measure the emulator and the ranking

Cause: World.add told discovery a change for each server at the start, so that fifty proxies heard a thousand changes each and the module sorted its list for every one of them.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 JAVA := java -XX:+UseSerialGC -XX:TieredStopAtLevel=1 -Xms16m -Xmx32m -XX:MaxMetaspaceSize=24m \
 	-XX:ReservedCodeCacheSize=12m -XX:MaxDirectMemorySize=16m -Xss512k -XX:-UsePerfData -Djava.net.preferIPv4Stack=true
 
-.PHONY: build jar archive test lint lab measure-resume measure-consul drain-day consul experiments run clean
+.PHONY: build jar archive test lint lab measure-resume measure-consul drain-day consul experiments measure-emulator run clean
 
 build: jar archive
 
@@ -45,7 +45,11 @@
 consul: lab
 	$(LAB) consul
 
-# The experiments of the repository, in the emulator: seven minutes on eight cores, growth nearly all of it.
+# The emulator's speed, a run of a million connections, the module's time for a request: some minutes, 4 GB.
+measure-emulator: lab
+	$(LAB) measure-emulator --largest
+
+# The experiments of the repository, in the emulator: a minute on eight cores.
 experiments: lab
 	for file in experiments/*.yaml; do $(LAB) run $$file --out lab/target/results/$$(basename $$file .yaml) || exit 1; done
 
--- a/lab/src/main/java/lemondeal/lab/Lab.java
+++ b/lab/src/main/java/lemondeal/lab/Lab.java
@@ -16,8 +16,8 @@
 
 /** The lab's command line: stand-ins to start by hand, and measurements. Never on the platform. */
 @Command(name = "lab", mixinStandardHelpOptions = true, description = "Stand-ins and measurements.",
-    subcommands = {Lab.Drains.class, Lab.MeasureResume.class, Lab.MeasureConsul.class, Lab.ClaimStore.class,
-        Lab.Consul.class, ExperimentCommands.Run.class, ExperimentCommands.Compare.class,
+    subcommands = {Lab.Drains.class, Lab.MeasureResume.class, Lab.MeasureConsul.class, Lab.MeasureEmulator.class,
+        Lab.ClaimStore.class, Lab.Consul.class, ExperimentCommands.Run.class, ExperimentCommands.Compare.class,
         ExperimentCommands.Results.class, ExperimentCommands.Placement.class})
 public final class Lab implements Runnable {
   @CommandLine.Spec
@@ -142,6 +142,20 @@
     }
   }
 
+  /** {@code measure-emulator}. */
+  @Command(name = "measure-emulator", mixinStandardHelpOptions = true,
+      description = "Measure the emulator's speed, the largest run, and the module's time for a request; some minutes.")
+  static final class MeasureEmulator implements Callable<Integer> {
+    @Option(names = "--largest", description = "Also 1,000 servers, 100 proxies and a million connections.")
+    private boolean largest;
+
+    @Override
+    public Integer call() throws Exception {
+      System.out.print(Reports.emulator(largest, System.err));
+      return CommandLine.ExitCode.OK;
+    }
+  }
+
   /** {@code claim-store}. */
   @Command(name = "claim-store", mixinStandardHelpOptions = true,
       description = "Run the stand-in claim store until standard input ends. It forgets all with its process.")
--- a/lab/src/main/java/lemondeal/lab/emulator/DiscoveryNode.java
+++ b/lab/src/main/java/lemondeal/lab/emulator/DiscoveryNode.java
@@ -28,10 +28,19 @@
     this.world = world;
   }
 
+  /** Takes in a server that has been there for long: nobody is told a change. */
+  void begin(Server server) {
+    entries.put(server.name(), entry(server, ServerState.READY));
+  }
+
+  private static ServerEntry entry(Server server, ServerState state) {
+    return new ServerEntry(server.name(), server.zone(), 0, server.model(), Math.max(0, server.startedAt()), state,
+        server.fleet().weight());
+  }
+
   /** Takes a server in as it is to be told from now on, and tells it after its delay. */
   void tell(Server server, ServerState state) {
-    ServerEntry entry = new ServerEntry(server.name(), server.zone(), 0, server.model(),
-        Math.max(0, server.startedAt()), state, server.fleet().weight());
+    ServerEntry entry = entry(server, state);
     if (state == ServerState.GONE) {
       entries.remove(server.name());
     } else {
--- a/lab/src/main/java/lemondeal/lab/emulator/World.java
+++ b/lab/src/main/java/lemondeal/lab/emulator/World.java
@@ -82,7 +82,8 @@
     }
     for (int fleet = 0; fleet < scenario.fleets().size(); fleet++) {
       for (int i = 0; i < scenario.fleets().get(fleet).count(); i++) {
-        add(scenario.fleets().get(fleet).name() + "-" + (i + 1), fleet, servers.size() % scenario.zones(), -1);
+        discovery.begin(add(scenario.fleets().get(fleet).name() + "-" + (i + 1), fleet,
+            servers.size() % scenario.zones(), -1));
       }
     }
     for (int i = 0; i < scenario.proxies(); i++) {
@@ -94,7 +95,6 @@
     Server server = new Server(agenda, name, scenario.fleets().get(fleet), fleet, zone, scenario.groupLoad(),
         scenario.classes().size(), startedAt);
     servers.put(name, server);
-    discovery.tell(server, ServerState.READY);
     return server;
   }
 
@@ -295,7 +295,9 @@
 
   /** A server in this one's place, with a name of its own, cold. */
   Server replacement(Server of) {
-    return add(of.fleet().name() + "-r" + ++replacements, of.model(), of.zone(), agenda.now());
+    Server fresh = add(of.fleet().name() + "-r" + ++replacements, of.model(), of.zone(), agenda.now());
+    discovery.tell(fresh, ServerState.READY);
+    return fresh;
   }
 
   Balancer.Settings settings(int node, int zone) {
--- a/lab/src/main/java/lemondeal/lab/measure/Reports.java
+++ b/lab/src/main/java/lemondeal/lab/measure/Reports.java
@@ -22,4 +22,9 @@
       throws IOException, InterruptedException {
     return new ConsulReport(repeats, sizes, fleets, seconds, progress).run();
   }
+
+  /** The emulator's speed and the module's time for a request: tables in Markdown. */
+  public static String emulator(boolean largest, PrintStream progress) throws RunnerException {
+    return new EmulatorReport(largest, progress).run();
+  }
 }
