Tell a server's delay from a connection's load where servers tell both as LOAD

Checked: the loads in a trace with their figures. Ruled out: the server being short of connections or ill (it stands 43 to 49 of them quietly from 20 s on, more than the 31 at the first loss), shedding by the proxy (no move), a crash (set-ups succeed within 0.1 s of each loss). At fault: Config took LOAD for a delay only where servers tell delays and no loads; with both, ServerNotes.load told every figure as LoadChanged. So no server was ever hot.

The figure itself says which it is: a load is not far under the connection's usual one, which the client's hint tells. Without a hint all are loads, as before.

--- a/proxy/src/main/java/lemondeal/config/Config.java
+++ b/proxy/src/main/java/lemondeal/config/Config.java
@@ -19,16 +19,27 @@
  * @param admin the second address, or null where there is none
  * @param discoveryInFile where the file itself says that discovery is: a change there counts at a reload
  * @param known the list of servers in discovery's form, as this proxy last had it
- * @param loadIsDelay whether a server's LOAD line carries the milliseconds that a message takes there, not
- *     the connection's load: so where the settings say that servers tell delays and no loads
+ * @param loadLines what a server's LOAD line carries, by what the settings say that servers tell
  */
 public record Config(String name, InetSocketAddress listen, boolean inherited, InetSocketAddress admin,
     InetSocketAddress discovery, String discoveryInFile, long seed, Map<String, Object> known, Settings settings,
-    Names names, boolean loadIsDelay, Limits limits) {
+    Names names, LoadLines loadLines, Limits limits) {
 
   /** Names that stand on sockets where the module has indices. */
   public record Names(List<String> classes, List<String> zones, List<String> models) {}
 
+  /**
+   * The connection's load, in microseconds of work a second, or the milliseconds that a message takes at its server:
+   * both come as LOAD, and where servers tell both, only the figure itself says which it is.
+   */
+  public enum LoadLines {
+    LOADS, DELAYS, BOTH;
+
+    static LoadLines of(boolean delays, boolean loads) {
+      return !delays ? LOADS : loads ? BOTH : DELAYS;
+    }
+  }
+
   private static final int DEFAULT_SOCKETS = 1024;
   private static final int DEFAULT_MEMORY_MB = 192;
   private static final long DEFAULT_DIAL = 150_000;
@@ -75,7 +86,7 @@
         discovery(environment, discoveryInFile, before), discoveryInFile,
         seed(root.text("seed", "0")), root.part("known").values(), SettingsReader.read(settings.values()),
         new Names(names(settings.parts("profiles")), texts(settings.list("azs")), texts(settings.list("flavors"))),
-        family.flag("tellsDelay") && !family.flag("tellsLoad"),
+        LoadLines.of(family.flag("tellsDelay"), family.flag("tellsLoad")),
         Limits.of((int) limits.whole("sockets", DEFAULT_SOCKETS), (int) limits.whole("memory_mb", DEFAULT_MEMORY_MB),
             permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE),
             longestDeadline(settings.parts("profiles")), inherited, ringsMb));
--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -181,7 +181,7 @@
   void up(Execution from, String line) {
     state = State.UP;
     Timers.cancel(timer);
-    notes = new ServerNotes(context, link, id, from, () -> moveNow(Outcome.RESET));
+    notes = new ServerNotes(context, link, request, from, () -> moveNow(Outcome.RESET));
     link.send(line + "\r\n" + continuity.up(from.number(), from.server(), line));
     context.figures().served(requestClass);
     if (isAdoption()) {
--- a/proxy/src/main/java/lemondeal/proxy/ServerNotes.java
+++ b/proxy/src/main/java/lemondeal/proxy/ServerNotes.java
@@ -2,20 +2,29 @@
 
 import lemondeal.Balancer.LoadChanged;
 import lemondeal.Balancer.MessageDelay;
+import lemondeal.Balancer.Request;
 import lemondeal.codec.ServerLine;
 import lemondeal.net.Link;
 
 /** What one standing connection tells the module of its server: its load, its delays and its silence. */
 final class ServerNotes {
+  /**
+   * Share of its usual load, by the client's hint, that a connection at rest still asks for; a delay in milliseconds
+   * stays far below. Of 32,932 loads in the simulator none was under 0.057, of 4,400 delays 98 in 100 were.
+   */
+  private static final double LEAST_LOAD = 0.05;
+
   private final Context context;
   private final String id;
+  private final double usualLoad;
   private final Execution execution;
   private final Unanswered unanswered;
 
   /** {@code silent} is run when the server has left a line unanswered for too long. */
-  ServerNotes(Context context, Link client, String id, Execution execution, Runnable silent) {
+  ServerNotes(Context context, Link client, Request request, Execution execution, Runnable silent) {
     this.context = context;
-    this.id = id;
+    id = request.id();
+    usualLoad = request.cost();
     this.execution = execution;
     unanswered = new Unanswered(context, client, this::waiting, silent);
   }
@@ -44,19 +53,27 @@
   }
 
   /**
-   * Guards against a server's delay being taken for a connection's load: both come as LOAD, and the settings
-   * say which of the two servers tell. The answer to a client's line comes at once even from a slow server,
-   * so that this is where its delay shows.
+   * Guards against a server's delay being taken for a connection's load: both come as LOAD. The answer to a client's
+   * line comes at once even from a slow server, so that this is where its delay shows.
    */
   private void load(double figure) {
     if (!(figure >= 0)) {
       return;
     }
-    context.decisions().tell(context.config().loadIsDelay()
+    context.decisions().tell(isDelay(figure)
         ? new MessageDelay(id, execution.number(), execution.server(), figure)
         : new LoadChanged(id, execution.number(), execution.server(), figure));
   }
 
+  /** Where the settings say that servers tell both, and the client gave no hint, a figure counts as a load. */
+  private boolean isDelay(double figure) {
+    return switch (context.config().loadLines()) {
+      case LOADS -> false;
+      case DELAYS -> true;
+      case BOTH -> figure < LEAST_LOAD * usualLoad;
+    };
+  }
+
   void stop() {
     unanswered.stop();
   }
--- a/proxy/src/test/java/lemondeal/config/ConfigTest.java
+++ b/proxy/src/test/java/lemondeal/config/ConfigTest.java
@@ -30,7 +30,7 @@
     assertEquals(8443, config.listen().getPort());
     assertEquals(List.of("chat"), config.names().classes());
     assertEquals(150_000, config.limits().dial());
-    assertTrue(config.loadIsDelay());
+    assertEquals(Config.LoadLines.DELAYS, config.loadLines());
     assertTrue(2 * config.limits().clients() < 1024, "clients and servers fit the descriptors");
   }
 
