Decide by epochs to leave a zone and to return, with rows that prove their own freshness

A majority of the named proxies, with evidence from two vantage zones, decides the next epoch of a zone; an epoch's content is in its number (odd left, even returned), so that two majorities can't differ on one. Rows echo each other's stamps: what was written after a row of ours is known by our own clock, whatever the transport delayed or replayed. A share beyond the careful one needs such words of a majority that knows the same epoch and does not vote against it, and a dwell outlasts it, so that no share of an earlier return meets the next one's budget. A starting proxy asks first: a majority if its kept state is whole, else enough to meet any majority that it may have been part of.

--- /dev/null
+++ b/proxy/src/main/java/lemondeal/evacuation/Row.java
@@ -0,0 +1,46 @@
+package lemondeal.evacuation;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What one proxy tells of every zone.
+ *
+ * @param incarnation new with each start of the writer, above all earlier ones
+ * @param beat grows with each row of an incarnation
+ * @param sure whether it has asked enough others since its start to speak for the fleet's past
+ * @param echo by the order of names, the stamp of the newest row that the writer holds of each; 0 for none
+ */
+record Row(long incarnation, long beat, boolean sure, Map<Integer, Word> zones, int[] echo) {
+
+  /**
+   * What it tells of one zone.
+   *
+   * @param epoch the highest decided one that it knows: odd left the zone, even returned
+   * @param votes whether it votes for the next one
+   * @param wants thousandths of connections a second beyond its own share
+   * @param loans of its share, to whom by place
+   */
+  record Word(long epoch, boolean votes, Seen seen, boolean opened, int relapses, int wants, List<Loan> loans) {
+    /** What is taken for said of a zone that a row leaves out. */
+    static final Word NONE = new Word(0, false, Seen.UNKNOWN, false, 0, 0, List.of());
+  }
+
+  /** Thousandths of connections a second, lent to the proxy at this place. */
+  record Loan(int to, int rate) {}
+
+  Word word(int zone) {
+    return zones.getOrDefault(zone, Word.NONE);
+  }
+
+  /** Tells the rows of all incarnations apart in 32 bits; 0 is no row's. */
+  static int stamp(long incarnation, long beat) {
+    long mixed = (incarnation ^ incarnation >>> 29) * 0x9E3779B97F4A7C15L;
+    int stamp = (int) (mixed >>> 32) + (int) beat;
+    return stamp == 0 ? 1 : stamp;
+  }
+
+  boolean newerThan(Row other) {
+    return incarnation > other.incarnation || incarnation == other.incarnation && beat > other.beat;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/evacuation/ZoneStanding.java
@@ -0,0 +1,29 @@
+package lemondeal.evacuation;
+
+/**
+ * How this proxy stands to a zone: what it may send there.
+ *
+ * @param open share of its usual work that the zone takes: 0 closed, 1 open
+ * @param perSecond new connections a second that this proxy may send there; no bound where the zone is open
+ * @param epoch the highest decided one that is known
+ */
+public record ZoneStanding(int zone, State state, double open, double perSecond, long epoch) {
+
+  /** Why so much. */
+  public enum State {
+    /** Just started, and nobody has said yet whether the zone is left. */
+    ASKING,
+    OPEN,
+    /** Returning, or opened anew: within the proxy's share of the fleet's budget. */
+    OPENING,
+    /** Out of touch with a majority: within the small share that is this proxy's at all times. */
+    CAREFUL,
+    /** It fails again while it opens: nothing until it is sound or left. */
+    RELAPSING,
+    CLOSED
+  }
+
+  static ZoneStanding none(int zone, State state, long epoch) {
+    return new ZoneStanding(zone, state, 0, 0, epoch);
+  }
+}
--- a/proxy/src/main/java/lemondeal/evacuation/ZoneWatch.java
+++ b/proxy/src/main/java/lemondeal/evacuation/ZoneWatch.java
@@ -109,6 +109,11 @@
     one.shut &= shut;
   }
 
+  /** This process stood still: time-outs that ran meanwhile tell of it, not of the servers. */
+  public void stoodStill() {
+    ready.values().forEach(one -> one.failures = 0);
+  }
+
   /** Age of the list in milliseconds. */
   public long listAge(long now) {
     return now - listedAt;
