Split the decision module into package lemondeal.module, a class for each concern

A change to one concern meant reading all.

Dependencies go one way, as the package's page lists them; each tunable stands beside the code that uses it. Parts without state of their own are records. The two tests of the hashes move with Rendezvous, which is not public.

No decision changes. Order of passes over servers and requests, of floating point operations and of random draws is as it was.

--- a/lab/src/main/java/lemondeal/lab/emulator/policy/Policies.java
+++ b/lab/src/main/java/lemondeal/lab/emulator/policy/Policies.java
@@ -10,8 +10,8 @@
 import java.util.TreeMap;
 import java.util.function.ToDoubleFunction;
 import lemondeal.Balancer.Request;
-import lemondeal.Logic;
 import lemondeal.lab.emulator.PolicyMaker;
+import lemondeal.module.Logic;
 
 /** The policies that an experiment may name: this project's own, and baselines as their literature has them. */
 public final class Policies {
--- a/lab/src/main/java/lemondeal/lab/measure/RankingBenchmark.java
+++ b/lab/src/main/java/lemondeal/lab/measure/RankingBenchmark.java
@@ -16,7 +16,7 @@
 import lemondeal.Balancer.ServerList;
 import lemondeal.Balancer.ServerState;
 import lemondeal.Balancer.Start;
-import lemondeal.Logic;
+import lemondeal.module.Logic;
 import org.openjdk.jmh.annotations.Benchmark;
 import org.openjdk.jmh.annotations.BenchmarkMode;
 import org.openjdk.jmh.annotations.Fork;
--- a/proxy/src/main/java/lemondeal/Extras.java
+++ b/proxy/src/main/java/lemondeal/Extras.java
@@ -20,6 +20,7 @@
 import lemondeal.log.EventLog;
 import lemondeal.log.JsonLog;
 import lemondeal.log.PlainLog;
+import lemondeal.module.Logic;
 import lemondeal.operator.FileFaults;
 import lemondeal.operator.KeyFile;
 import lemondeal.operator.Operator;
--- a/proxy/src/main/java/lemondeal/Serve.java
+++ b/proxy/src/main/java/lemondeal/Serve.java
@@ -8,6 +8,7 @@
 import lemondeal.config.ConfigException;
 import lemondeal.log.EventLog;
 import lemondeal.log.PlainLog;
+import lemondeal.module.Logic;
 import lemondeal.proxy.Proxy;
 import lemondeal.trace.Traced;
 
--- a/proxy/src/main/java/lemondeal/benchlink/Main.java
+++ b/proxy/src/main/java/lemondeal/benchlink/Main.java
@@ -3,7 +3,7 @@
 import lemondeal.Balancer;
 import lemondeal.Balancer.Action;
 import lemondeal.Balancer.Start;
-import lemondeal.Logic;
+import lemondeal.module.Logic;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/module/Membership.java
@@ -0,0 +1,94 @@
+package lemondeal.module;
+
+import java.util.*;
+import lemondeal.Balancer.*;
+
+/** Takes the servers' list, and asks for it where it does not come unasked. */
+final class Membership {
+  private static final long ASK_SPREAD_PER_NODE = 40_000; // of first calls, for each node of the tier
+  private static final long ASK_SPREAD_MOST = 4_000_000;
+  private static final long ASK_BACKOFF = 500_000; // first pause after a failed call; doubles
+  private static final long ASK_BACKOFF_MOST = 4_000_000;
+  static final long TOKEN_ASK = 0;
+
+  private final Node node;
+  private boolean subscribed;
+  boolean listed; // whether discovery has told a list since the start
+  private int askFailures;
+  private long nextAsk;
+
+  Membership(Node node) {
+    this.node = node;
+  }
+
+  void start() {
+    if (node.settings.mustAskForList()) {
+      long spread = Math.min(ASK_SPREAD_MOST, ASK_SPREAD_PER_NODE * node.settings.nodes());
+      askAt(1 + node.random.nextLong(Math.max(1, spread)));
+    }
+  }
+
+  void ask() {
+    if (subscribed || node.now < nextAsk) {
+      return;
+    }
+    node.out.add(new Subscribe(true));
+    // Should no answer come at all, the call is made again before the node counts as not asking.
+    askAt(node.settings.rules().askEvery() / 2);
+  }
+
+  private void askAt(long pause) {
+    nextAsk = node.now + Math.max(1, pause);
+    node.out.add(new WakeAfter(Math.max(1, pause), TOKEN_ASK));
+  }
+
+  /** Calls again after a pause that doubles and is drawn: nodes turned away must not return together. */
+  private void askLater() {
+    subscribed = false;
+    long pause = Math.min(ASK_BACKOFF_MOST, ASK_BACKOFF << Math.min(askFailures, 8));
+    askFailures++;
+    askAt(pause / 2 + node.random.nextLong(pause));
+  }
+
+  void serverList(ServerList event) {
+    if (event.kind() == ListKind.FAILED) {
+      askLater();
+      return;
+    }
+    if (event.kind() != ListKind.SAVED) {
+      subscribed = true;
+      listed = true;
+      askFailures = 0;
+    }
+    if (event.kind() != ListKind.CHANGES) {
+      for (Server s : node.fleet) {
+        s.state = ServerState.GONE;
+      }
+    }
+    for (ServerEntry entry : event.entries()) {
+      update(node.server(entry.server()), entry);
+    }
+    node.servers.values().removeIf(s -> s.state == ServerState.GONE);
+    node.fleet = node.servers.values().toArray(new Server[0]);
+    Arrays.sort(node.fleet, (a, b) -> a.name.compareTo(b.name));
+    Set<Integer> zones = new HashSet<>();
+    for (Server s : node.fleet) {
+      zones.add(s.zone);
+    }
+    node.zones = zones.size();
+  }
+
+  private void update(Server s, ServerEntry entry) {
+    s.zone = entry.zone();
+    s.cell = entry.cell();
+    boolean drains = entry.state() != ServerState.READY;
+    s.drainingSince = !drains ? Node.NEVER : s.drainingSince == Node.NEVER ? node.now : s.drainingSince;
+    s.state = entry.state();
+    // Zero is taken at its word (last in every ranking); what is no weight at all counts as 1.
+    boolean sane = entry.weight() >= 0 && entry.weight() < Double.POSITIVE_INFINITY;
+    s.weight = sane ? entry.weight() : 1;
+    if (entry.startedAt() != s.startedAt) {
+      s.restarted(entry.startedAt());
+    }
+  }
+}
--- a/proxy/src/main/java/lemondeal/Rendezvous.java
+++ b/proxy/src/main/java/lemondeal/module/Rendezvous.java
@@ -1,4 +1,4 @@
-package lemondeal;
+package lemondeal.module;
 
 /** The hashes and the score of weighted rendezvous hashing: the same at every node, whatever it has seen. */
 final class Rendezvous {
@@ -20,10 +20,8 @@
     return h ^ (h >>> 31);
   }
 
-  /**
-   * A hash as a number strictly between 0 and 1, so that its logarithm is finite and not zero. Of 52 bits:
-   * with 53 the largest hash would round to 1.
-   */
+  /** A hash as a number between 0 and 1, neither of them, for its logarithm. Of 52 bits: with 53 the largest
+   * hash would round to 1. */
   static double unit(long h) {
     return ((h >>> 12) + 0.5) * 0x1.0p-52;
   }
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/module/Setups.java
@@ -0,0 +1,94 @@
+package lemondeal.module;
+
+import java.util.ArrayDeque;
+import lemondeal.Balancer.Outcome;
+
+/** How many set-ups are out at once, and how long one takes: guards the store or fleet behind them all. */
+final class Setups {
+  private static final double SETUPS_SLOW = 4; // times the usual: all then wait for something shared
+  private static final double SETUP_GAIN = 0.3; // weight of the newest in the present time
+  private static final double SETUP_USUAL_GAIN = 0.02; // and in the usual one
+  private static final long SETUP_HALF_LIFE = 2_000_000; // of the present time, once nothing is learnt
+  private static final double SETUP_MOST = 0.7; // share of the deadline that it holds back at most
+  private static final double PATIENCE = 0.6; // share of the time left, where a fallback still fits
+  private static final double SETUPS_FIRST = 4; // out at once before one fails; sound ones are short
+  private static final double SETUPS_MOST = 32;
+  private static final double SETUPS_CUT = 0.7; // factor after one failed late or by error
+  private static final long SETUP_PAUSE = 50_000; // once all fail one by one; doubles
+  private static final long SETUP_PAUSE_MOST = 1_000_000;
+
+  private final Node node;
+  private double allowed = SETUPS_FIRST;
+  private int out;
+  long heldUntil = Node.NEVER;
+  private int failures;
+  private double present;
+  private double usual;
+  private long learntAt = Node.NEVER;
+  final ArrayDeque<Flow> queue = new ArrayDeque<>(); // of those that wait for a set-up
+
+  Setups(Node node) {
+    this.node = node;
+  }
+
+  boolean mayStart() {
+    return out < allowed && node.now >= heldUntil;
+  }
+
+  void started() {
+    out++;
+  }
+
+  void succeeded(long elapsed) {
+    out--;
+    count(elapsed <= SETUPS_SLOW * usual || usual == 0);
+    took(elapsed);
+  }
+
+  void failed(Outcome outcome, long elapsed) {
+    out--;
+    if (outcome == Outcome.ERROR || outcome == Outcome.TIMED_OUT) {
+      count(false);
+    }
+    if (outcome == Outcome.TIMED_OUT) {
+      took(elapsed);
+    }
+  }
+
+  /** The more fail, the fewer a node has out at once. */
+  private void count(boolean good) {
+    if (good) {
+      allowed = Math.min(SETUPS_MOST, allowed + 1 / allowed);
+      failures = 0;
+      heldUntil = Node.NEVER;
+      return;
+    }
+    allowed = Math.max(1, allowed * SETUPS_CUT);
+    if (allowed == 1) {
+      long pause = Math.min(SETUP_PAUSE_MOST, SETUP_PAUSE << Math.min(10, failures++));
+      heldUntil = node.now + pause / 2 + node.random.nextLong(pause);
+    }
+  }
+
+  private void took(long elapsed) {
+    present = present == 0 ? elapsed : present + SETUP_GAIN * (elapsed - present);
+    usual = usual == 0 ? elapsed : usual + SETUP_USUAL_GAIN * (elapsed - usual);
+    learntAt = node.now;
+  }
+
+  /** Time of a set-up at present. One that cannot end in time would only fill the queue of what is behind. */
+  double expected(Flow flow) {
+    if (flow.type == null) {
+      return 0;
+    }
+    double fade = StrictMath.pow(0.5, (double) (node.now - learntAt) / SETUP_HALF_LIFE);
+    return Math.min(present * fade, flow.type.deadline() * SETUP_MOST);
+  }
+
+  /** Leaves time for a fallback, but not little: set-ups given up early stay in queues and keep them full. */
+  long timeout(Flow flow, long left) {
+    boolean last = flow.tried.size() >= node.settings.limits().maxAttempts();
+    return last || flow.type == null || left <= 2 * flow.type.aim() || left * PATIENCE < expected(flow)
+        ? 0 : (long) (left * PATIENCE);
+  }
+}
--- a/proxy/src/test/java/lemondeal/EmbeddingTest.java
+++ b/proxy/src/test/java/lemondeal/EmbeddingTest.java
@@ -14,6 +14,7 @@
 import lemondeal.Balancer.Settings;
 import lemondeal.Balancer.Start;
 import lemondeal.Balancer.WakeAfter;
+import lemondeal.module.Logic;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
--- a/proxy/src/test/java/lemondeal/FleetsTest.java
+++ b/proxy/src/test/java/lemondeal/FleetsTest.java
@@ -26,6 +26,7 @@
 import lemondeal.Balancer.Start;
 import lemondeal.Balancer.Wake;
 import lemondeal.Balancer.WakeAfter;
+import lemondeal.module.Logic;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
--- a/proxy/src/test/java/lemondeal/Node.java
+++ b/proxy/src/test/java/lemondeal/Node.java
@@ -24,6 +24,7 @@
 import lemondeal.Balancer.Wake;
 import lemondeal.Balancer.WakeAfter;
 import lemondeal.Balancer.WeightMeaning;
+import lemondeal.module.Logic;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/benchlink/RecordedDayTest.java
@@ -0,0 +1,32 @@
+package lemondeal.benchlink;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.security.DigestOutputStream;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.zip.GZIPInputStream;
+import lemondeal.module.Logic;
+import org.junit.jupiter.api.Test;
+
+/**
+ * The events of a simulated day of overload at three nodes, replayed: the replies are the same to the letter. Guards
+ * changes that are to change no decision. One that is meant to takes the new digest, and says why in its commit.
+ */
+class RecordedDayTest {
+  private static final String REPLIES = "684488dc32d3191a699a14d39442642d364e5ced90f8360d38526014d05eafc6";
+
+  @Test
+  void repliesAreTheSameToTheLetter() throws IOException, NoSuchAlgorithmException {
+    MessageDigest digest = MessageDigest.getInstance("SHA-256");
+    ByteArrayOutputStream replies = new ByteArrayOutputStream();
+    try (InputStream day = new GZIPInputStream(getClass().getResourceAsStream("/recorded-day.jsonl.gz"))) {
+      assertEquals(0, new Main(Logic::new).run(day, new DigestOutputStream(replies, digest), System.err));
+    }
+    assertEquals(REPLIES, HexFormat.of().formatHex(digest.digest()), replies.size() + " bytes of replies, 239803 once");
+  }
+}
