--- a/proxy/src/test/java/lemondeal/ModuleLimitsTest.java
+++ b/proxy/src/test/java/lemondeal/ModuleLimitsTest.java
@@ -35,4 +35,15 @@
     List<String> lines = Files.readAllLines(MODULE.resolve("Logic.java"));
     assertTrue(lines.stream().limit(5).anyMatch(line -> line.contains("Balancer.java")));
   }
+
+  /** The bench takes files alone under policy: a folder named there once counted as a missing file. */
+  @Test
+  void theDeployFileNamesEachFileOfTheModule() throws IOException {
+    String deploy = Files.readString(Path.of("../deploy/balancer.toml"));
+    try (DirectoryStream<Path> files = Files.newDirectoryStream(MODULE, "*.java")) {
+      for (Path file : files) {
+        assertTrue(deploy.contains("\"proxy/" + file + "\""), file + " is missing under policy");
+      }
+    }
+  }
 }
