Put the list's clock in one pure place, and keep a watch open where lists are pushed

Checked by trace and socket counts: not one call went to discovery. Logic.start asks only where the settings say that lists have to be asked for, and Discovery opened a watch only on the module's word, so that the list of the configuration was all that a proxy ever knew.

When a change counts as told is now reckoned in discovery.clock.ListClock alone: events go in, and it says when a watch is broken, when a missed change counts, when sends have to end, how long the list held is good and when to ask next. Discovery uses it: - where lists are pushed, a watch is kept open from the start on and opened anew within half of the drain grace; the list from before the start is held back until the agent has answered or failed, 3 s at most, since what the agent has counts from a process's first moment; - an open watch is broken 2.6 s after its last line, where 3.5 s passed before: lines come every 2 s, and what is missed counts 6 s after the silence began. A call without an answer keeps 3.5 s, since discovery handles calls one by one; - where lists are asked for, the clock asks if the module has not in time.

--- a/proxy/src/main/java/lemondeal/config/Limits.java
+++ b/proxy/src/main/java/lemondeal/config/Limits.java
@@ -37,7 +37,8 @@
  * @param noteShare share of the shortest message aim over which delays are noted
  * @param probe the answer to a probe
  * @param probeIdle a link kept for probes is closed after this
- * @param watchSilence a watch that brings nothing for this long has failed
+ * @param watchSilence a connection to discovery not up by then has failed; how long it may be silent after that is the
+ *     list clock's to say
  * @param adoptPause between two tries for a connection that was open before
  * @param adoptFor how long it is tried
  * @param throttleFor when a client is to come again that was throttled for want of room
--- a/proxy/src/main/java/lemondeal/discovery/Call.java
+++ b/proxy/src/main/java/lemondeal/discovery/Call.java
@@ -8,6 +8,7 @@
 import lemondeal.codec.Json;
 import lemondeal.codec.ProtocolException;
 import lemondeal.config.Limits;
+import lemondeal.discovery.clock.ListClock;
 import lemondeal.net.Dial;
 import lemondeal.net.Link;
 import lemondeal.net.Net;
@@ -19,6 +20,7 @@
 
   private final Timers timers;
   private final Limits limits;
+  private final ListClock clock;
   private final String path;
   private final boolean watch;
   private final Consumer<Map<String, Object>> listed;
@@ -31,13 +33,15 @@
   private boolean over;
 
   /**
+   * @param clock is told when this call hears anything, and says when it has been silent for too long
    * @param listed is told each list or change; an empty one for a watch that has nothing new to say at first
    * @param failed is told once, if the call ends without answer or a watch ends at all
    */
-  Call(Timers timers, Limits limits, String path, boolean watch, Consumer<Map<String, Object>> listed,
+  Call(Timers timers, Limits limits, ListClock clock, String path, boolean watch, Consumer<Map<String, Object>> listed,
       Runnable failed) {
     this.timers = timers;
     this.limits = limits;
+    this.clock = clock;
     this.path = path;
     this.watch = watch;
     this.listed = listed;
@@ -48,12 +52,13 @@
   void start(Net net, InetSocketAddress address) {
     String request = "GET " + path + " HTTP/1.1\r\nHost: " + address.getHostString() + ":" + address.getPort()
         + "\r\nAccept: application/json\r\n\r\n";
-    heard();
+    clock.called(timers.now());
+    awaitMore();
     dial = net.dial(address, limits.watchSilence(), opened -> {
       link = opened;
       link.start(this);
       link.send(request);
-    }, this::fail);
+    }, this::unreached);
   }
 
   boolean isOver() {
@@ -72,14 +77,36 @@
     }
   }
 
-  /** Guards against a discovery that is cut off: its connection stays open and says nothing. */
   private void heard() {
+    if (answered) {
+      clock.heard(timers.now());
+    } else {
+      clock.stirred(timers.now());
+    }
+    awaitMore();
+  }
+
+  /** Guards against a discovery that is cut off: its connection stays open and says nothing. */
+  private void awaitMore() {
     Timers.cancel(silence);
-    silence = timers.after(limits.watchSilence(), this::fail);
+    silence = timers.after(clock.brokenAt() - timers.now(), this::late);
+  }
+
+  /** Looks again a moment later: it may be this process that stood still, with a line waiting to be read. */
+  private void late() {
+    silence = timers.after(limits.moment(), this::fail);
+  }
+
+  private void unreached() {
+    if (!over) {
+      clock.down(timers.now());
+      fail();
+    }
   }
 
   private void fail() {
     if (!over) {
+      clock.failed(timers.now());
       stop();
       failed.run();
     }
@@ -92,9 +119,11 @@
 
   @Override
   public void received(ByteBuffer bytes) {
-    heard();
     try {
       parser.take(bytes);
+      if (!over) {
+        heard();
+      }
     } catch (ProtocolException e) {
       fail();
     }
@@ -139,10 +168,11 @@
   @Override
   public void end() {
     if (!over) {
-      boolean whole = answered && !watch;
-      stop();
-      if (!whole) {
-        failed.run();
+      if (answered && !watch) {
+        clock.answered(timers.now());
+        stop();
+      } else {
+        fail();
       }
     }
   }
--- a/proxy/src/main/java/lemondeal/discovery/Discovery.java
+++ b/proxy/src/main/java/lemondeal/discovery/Discovery.java
@@ -2,20 +2,29 @@
 
 import lemondeal.Balancer.ListKind;
 import lemondeal.Balancer.ServerList;
+import lemondeal.Balancer.Settings;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import lemondeal.codec.ProtocolException;
 import lemondeal.config.Config;
 import lemondeal.config.Limits;
+import lemondeal.discovery.clock.ListClock;
 import lemondeal.net.Net;
 import lemondeal.net.Timers;
 
-/** Asks the platform's discovery on the module's word. When to ask again after a failure is the module's to say. */
+/**
+ * Asks the platform's discovery. Where lists are asked for, on the module's word: when to ask again after a failure is
+ * the module's to say. Where they are pushed the module asks for none, and what the agent has counts as told from the
+ * first moment: a watch is kept open from the start on, and the list from before the start is told only if none comes.
+ */
 public final class Discovery implements ListSource {
   private static final String LIST = "/api/targets";
+  /** What the rules on sockets add to each time limit, in microseconds. */
+  private static final long SLACK = 50_000;
 
   private final Net net;
   private final Timers timers;
@@ -24,9 +33,18 @@
   private final Consumer<ServerList> told;
   private final Config atStart;
   private final List<Call> fetches = new ArrayList<>();
+  private final SplittableRandom random;
+  private final ListClock clock;
   private InetSocketAddress address;
   private Call watch;
   private boolean wanted;
+  /** Whether the watch is kept open without the module's word. */
+  private boolean kept;
+  /** The list from before the start, while it is held back from the module; null otherwise. */
+  private ServerList heldBack;
+  /** A watch that the clock asks for; the module has asked for none in time. */
+  private boolean byClock;
+  private Timers.Timer again;
 
   public Discovery(Net net, Timers timers, Limits limits, Config config, HostGroup group,
       Consumer<ServerList> told) {
@@ -37,12 +55,38 @@
     address = config.discovery();
     this.group = group;
     this.told = told;
+    random = new SplittableRandom(config.seed());
+    clock = clock();
   }
 
-  /** The list in the configuration. */
+  private ListClock clock() {
+    Settings settings = atStart.settings();
+    return new ListClock(new ListClock.Settings(!settings.mustAskForList(), settings.rules().askEvery(),
+        settings.rules().drainGrace(), SLACK, 0), timers.now());
+  }
+
+  /** The list in the configuration; none yet where the agent is asked first. */
   @Override
   public List<ServerList> saved() throws ProtocolException {
-    return List.of(group.saved(atStart.known()));
+    ServerList known = group.saved(atStart.known());
+    if (atStart.settings().mustAskForList() || wanted) {
+      return List.of(known);
+    }
+    heldBack = known;
+    kept = true;
+    wanted = true;
+    timers.after(limits.listWithin(), this::release);
+    open();
+    return List.of();
+  }
+
+  /** The list from before the start must do: the agent can't be had, or has told none in good time. */
+  private void release() {
+    if (heldBack != null) {
+      ServerList known = heldBack;
+      heldBack = null;
+      told.accept(known);
+    }
   }
 
   /** Asks discovery where the configuration now says it is. */
@@ -61,6 +105,7 @@
       return;
     }
     address = newAddress;
+    clock.reconfigured(timers.now());
     List<Call> out = List.copyOf(fetches);
     fetches.clear();
     for (Call fetch : out) {
@@ -70,22 +115,51 @@
       }
     }
     if (wanted) {
-      watch(true);
+      open();
     }
   }
 
   @Override
   public void watch(boolean on) {
     wanted = on;
+    if (!on) {
+      end();
+    } else if (!byClock || watch.isOver()) {
+      open();
+    }
+    byClock = false;
+  }
+
+  private void open() {
+    end();
+    watch = call(true);
+  }
+
+  private void end() {
+    Timers.cancel(again);
     if (watch != null) {
       watch.stop();
-      watch = null;
     }
-    if (on) {
-      watch = call(true);
+  }
+
+  private void watchFailed() {
+    release();
+    askInTime();
+    if (!kept) {
+      failed();
     }
   }
 
+  /** Asks when the clock says so, if the module has not by then. */
+  private void askInTime() {
+    long now = timers.now();
+    Timers.cancel(again);
+    again = timers.after(clock.askAt(now, random.nextDouble()) - now, () -> {
+      byClock = true;
+      open();
+    });
+  }
+
   @Override
   public void fetch() {
     fetches.removeIf(Call::isOver);
@@ -94,18 +168,23 @@
 
   private Call call(boolean isWatch) {
     String path = isWatch ? LIST + "?stream=1&index=" + group.generation() : LIST;
-    Call call = new Call(timers, limits, path, isWatch, this::listed, this::failed);
+    Call call = new Call(timers, limits, isWatch ? clock : clock(), path, isWatch, this::listed,
+        isWatch ? this::watchFailed : this::failed);
     call.start(net, address);
     return call;
   }
 
   private void listed(Map<String, Object> list) {
     try {
-      told.accept(group.update(list));
+      ServerList news = group.update(list);
+      ServerList known = heldBack;
+      heldBack = null;
+      told.accept(known != null && news.kind() == ListKind.CHANGES ? HostGroup.over(known, news) : news);
     } catch (ProtocolException e) {
       // A list that can't be read: what is held stays, and a new watch begins with all that was missed.
-      watch(false);
-      failed();
+      end();
+      clock.failed(timers.now());
+      watchFailed();
     }
   }
 
--- a/proxy/src/main/java/lemondeal/discovery/HostGroup.java
+++ b/proxy/src/main/java/lemondeal/discovery/HostGroup.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import lemondeal.codec.ProtocolException;
@@ -76,6 +77,14 @@
     return take(list, Boolean.TRUE.equals(list.get("reset")) ? ListKind.FULL : ListKind.CHANGES);
   }
 
+  /** The whole list that changes make of a list from before. */
+  static ServerList over(ServerList before, ServerList changes) {
+    Map<String, ServerEntry> entries = new LinkedHashMap<>();
+    before.entries().forEach(entry -> entries.put(entry.server(), entry));
+    changes.entries().forEach(entry -> entries.put(entry.server(), entry));
+    return new ServerList(changes.version(), ListKind.FULL, List.copyOf(entries.values()));
+  }
+
   /** Reads everything before it changes anything: a broken list must not be taken in by half. */
   private ServerList take(Map<String, Object> list, ListKind kind) throws ProtocolException {
     List<ServerEntry> entries = new ArrayList<>();
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
@@ -0,0 +1,212 @@
+package lemondeal.discovery.clock;
+
+/**
+ * When a change of the list counts as told to this proxy, whether it arrived or not, and so when a watch is broken, how
+ * long the list held may still be used and when discovery has to be asked. The one place for these clocks. Pure: what
+ * happened and when goes in, times come out; nothing is read from outside. All times are microseconds on the caller's
+ * clock, {@link #NEVER} where no time is set.
+ *
+ * <p>What is not known for certain is taken the stricter way: a change counts as told as early as it may.
+ */
+public final class ListClock {
+  /** No such time: later than all others. */
+  public static final long NEVER = Long.MAX_VALUE / 4;
+
+  private static final long MILLI = 1_000;
+  private static final long SECOND = 1_000_000;
+  /** A watch brings an empty line this often while nothing changes. */
+  private static final long LINE_EVERY = 2 * SECOND;
+  /** How late such a line may come before the watch counts as broken: the way, and turns of a busy machine. */
+  private static final long LINE_LATE = 600 * MILLI;
+  /** What a silent watch or call misses counts as told so long after it fell silent. */
+  private static final long MISSED = 6 * SECOND;
+  /** The same after a call that may wait, counted from the end of its wait. */
+  private static final long MISSED_AFTER_WAIT = 2 * SECOND;
+  /** Discovery works through calls one after another: a call without a byte of an answer is given up after this. */
+  private static final long ANSWER_WITHIN = 3_500 * MILLI;
+  /** After a new configuration, what the discovery named there has counts so long later. */
+  private static final long AFTER_RELOAD = 4 * SECOND;
+  /** A failed call lengthens the time for which the list held is the one that counts. */
+  private static final int FAILED_FACTOR = 4;
+  /** So many calls fit into the time within which an answer has to come. */
+  private static final int CALLS_IN_TIME = 4;
+  /** Bounds of the pause between two calls; the longest is that where lists are pushed. */
+  private static final long CALL_PAUSE_LEAST = 40 * MILLI;
+  private static final long CALL_PAUSE_MOST = 400 * MILLI;
+
+  /**
+   * How lists come and what the rules allow.
+   *
+   * @param pushed whether lists come unasked: what the agent at discovery's address has counts as told then
+   * @param askEvery where lists are asked for: how long a proxy without a watch may go without asking
+   * @param drainGrace until when sends to a server must have ended once it is told that it drains or is gone
+   * @param slack by which each of the rules' times is longer
+   * @param callWait how long discovery may hold a call back before it answers; 0 for a watch, whose lines come steadily
+   */
+  public record Settings(boolean pushed, long askEvery, long drainGrace, long slack, long callWait) {}
+
+  private final Settings settings;
+  /** Whether a watch is open, or a call out that may wait: until it ends, only its silence tells that it is broken. */
+  private boolean open;
+  /** Whether what is out has brought anything yet. */
+  private boolean answered;
+  /** When what is out last brought anything, or began; NEVER with nothing out. */
+  private long heardAt = NEVER;
+  /** From when on a watch or call that was broken had brought nothing, until discovery is heard again. */
+  private long silentSince = NEVER;
+  private long calledAt;
+  private boolean callFailed;
+  /** The change that may have been missed first; NEVER while the watch is sound. */
+  private long blindSince;
+  private boolean down;
+  /** Before this nothing new counts: the process's start, discovery's return, a while after a new configuration. */
+  private long countsFrom;
+
+  /** A process that starts at {@code now} with the list that it was given. */
+  public ListClock(Settings settings, long now) {
+    this.settings = settings;
+    calledAt = now;
+    blindSince = now;
+    countsFrom = now;
+  }
+
+  // ---- What happened -------------------------------------------------------------------------
+
+  /** A call goes out, for a watch or for the list. */
+  public void called(long now) {
+    calledAt = now;
+    callFailed = false;
+    heardAt = now;
+    answered = false;
+    open = settings.callWait() > 0;
+  }
+
+  /** Something came on a watch, be it an empty line; the first time opens it. */
+  public void heard(long now) {
+    back(now);
+    open = true;
+    answered = true;
+    heardAt = now;
+    silentSince = NEVER;
+    blindSince = NEVER;
+  }
+
+  /** Part of an answer came, not a whole line yet: the call has not failed, and tells nothing. */
+  public void stirred(long now) {
+    heardAt = now;
+  }
+
+  /** The whole list came, and with it the call is over. */
+  public void answered(long now) {
+    heard(now);
+    open = false;
+    answered = false;
+    heardAt = NEVER;
+    blindSince = now;
+  }
+
+  /** What was out has failed: it ended, or it was broken and given up. */
+  public void failed(long now) {
+    blindSince = Math.min(blindSince, now);
+    if (broken(now)) {
+      silentSince = Math.min(silentSince, heardAt);
+      blindSince = Math.min(blindSince, heardAt);
+    }
+    callFailed = !answered;
+    open = false;
+    answered = false;
+    heardAt = NEVER;
+  }
+
+  /** Discovery is out of reach: connections are refused, or it says so itself. */
+  public void down(long now) {
+    failed(now);
+    down = true;
+  }
+
+  /** Discovery is there again. */
+  public void back(long now) {
+    if (down) {
+      down = false;
+      countsFrom = Math.max(countsFrom, now);
+      calledAt = Math.max(calledAt, now);
+      callFailed = false;
+    }
+  }
+
+  /** A new configuration counts from {@code now}: discovery may be elsewhere. */
+  public void reconfigured(long now) {
+    countsFrom = now + AFTER_RELOAD;
+  }
+
+  // ---- What follows --------------------------------------------------------------------------
+
+  /** When the watch or call that is out is broken unless something comes before; {@link #NEVER} with none out. */
+  public long brokenAt() {
+    if (heardAt == NEVER) {
+      return NEVER;
+    }
+    return heardAt + (answered ? LINE_EVERY + LINE_LATE : open ? settings.callWait() + LINE_LATE : ANSWER_WITHIN);
+  }
+
+  /** Whether the watch or call that is out has been silent for so long that it has to be made anew. */
+  public boolean broken(long now) {
+    return heardAt != NEVER && now >= brokenAt();
+  }
+
+  /**
+   * When a change counts as told that discovery, or the agent, has from {@code changed} on and that has not arrived:
+   * {@link #NEVER} while discovery is down, since the clock begins anew at its return.
+   */
+  public long toldAt(long changed) {
+    if (down) {
+      return NEVER;
+    }
+    long counts = Math.max(changed, countsFrom);
+    if (open && changed < heardAt) {
+      return counts;
+    }
+    long silent = heardAt != NEVER ? heardAt : silentSince;
+    long missed = changed < silent ? NEVER : Math.max(counts, missedBy(silent));
+    return open ? missed : Math.min(missed, settings.pushed() ? counts : Math.max(countsFrom, heldUntil(changed)));
+  }
+
+  /** A proxy that asks and has no watch is held to the list that it has, and then to the one from so long before. */
+  private long heldUntil(long changed) {
+    long held = settings.askEvery() * (callFailed ? FAILED_FACTOR : 1);
+    return Math.max(calledAt + held, changed + settings.askEvery());
+  }
+
+  private long missedBy(long silent) {
+    long afterWait = settings.callWait() > 0 ? calledAt + settings.callWait() + MISSED_AFTER_WAIT : silent;
+    return Math.max(silent + MISSED, afterWait);
+  }
+
+  /** When sends to a server must have ended whose drain or end discovery has from {@code changed} on. */
+  public long sendsEndBy(long changed) {
+    long told = toldAt(changed);
+    return told == NEVER ? NEVER : told + settings.drainGrace() + settings.slack();
+  }
+
+  /** How long the list held may be gone by, even if it was changed since; NEVER where nothing can be missed. */
+  public long goodUntil(long now) {
+    return broken(now) ? sendsEndBy(heardAt) : blindSince == NEVER ? NEVER : sendsEndBy(blindSince);
+  }
+
+  /**
+   * When discovery has to be asked next. With a sound watch, or a call out, not before that is broken. Without one,
+   * soon and steadily where lists are pushed, since what the agent has counts already; where they are asked for, within
+   * a share of the time that the list held is good for, so that a few calls may fail.
+   *
+   * @param draw a random number in [0, 1): proxies whose watches ended together must not come back together
+   */
+  public long askAt(long now, double draw) {
+    if (heardAt != NEVER) {
+      return Math.max(now, brokenAt());
+    }
+    long good = goodUntil(now);
+    long time = settings.pushed() ? Math.min(CALL_PAUSE_MOST * CALLS_IN_TIME, settings.drainGrace())
+        : good == NEVER ? settings.askEvery() : good - now;
+    return now + (long) (Math.max(CALL_PAUSE_LEAST, time / CALLS_IN_TIME) * (0.5 + draw));
+  }
+}
