Read lists that come indented, and keep the one held when a whole list names no instances

Seen on loopback: a list over several lines, on a watch or in an answer, failed at its first line ("{" alone is no JSON), since Call handed each line of the body to the JSON reader. Each call then failed alike, and the proxy never had a list. A whole list without "instances" (cut, or of another make) took all servers away, in HostGroup.update.

ObjectLines puts objects together from their lines. A line that was cut must not swallow those behind it: a string open at a line's end, an empty line inside an object, or a brace at a line's start where no value may stand tell so at once, and the watch is opened anew from the version held. A whole list without instances counts as one that can't be read.

DiscoveryClockTest has eleven cases more (indents, cut, garbled, two objects). With the old reading and without the guard four of them fail: the three indents (no list comes) and the whole list without instances (the watch is opened anew from that list's version, with no server left). The others were kept out before and stay so.

--- /dev/null
+++ b/proxy/src/main/java/lemondeal/codec/ObjectLines.java
@@ -0,0 +1,72 @@
+package lemondeal.codec;
+
+/**
+ * Puts JSON objects together from the lines that they come in: one line each as a rule, several where they come indented.
+ * A line that was cut off must not swallow those behind it, so whatever can't go on an object is told at once.
+ */
+public final class ObjectLines {
+  private final int longest;
+  private final StringBuilder text = new StringBuilder();
+  private int depth;
+  private boolean inString;
+  private boolean escaped;
+  /** The last character that is no white space. */
+  private char last;
+
+  /** {@code longest} counts the characters of an object, its line ends left out. */
+  public ObjectLines(int longest) {
+    this.longest = longest;
+  }
+
+  /** Whether an object has begun and is not whole. */
+  public boolean midObject() {
+    return depth > 0;
+  }
+
+  /**
+   * Takes a line that is not empty, or an empty one that is to end no object.
+   *
+   * @return the object that is whole with it, not checked any further, or null if more has to come
+   * @throws ProtocolException if the line does not go on the object that has begun; nothing more can be read then
+   */
+  public String add(String line) throws ProtocolException {
+    if (midObject() && !goesOn(line)) {
+      throw new ProtocolException("a JSON object breaks off before: " + OpenLine.shown(line));
+    }
+    if (text.length() + line.length() > longest) {
+      throw new ProtocolException("a JSON object is longer than " + longest + " characters");
+    }
+    text.append(line);
+    for (int i = 0; i < line.length(); i++) {
+      count(line.charAt(i));
+    }
+    if (inString) {
+      throw new ProtocolException("a JSON string breaks off at a line's end");
+    }
+    if (midObject()) {
+      return null;
+    }
+    String whole = text.toString();
+    text.setLength(0);
+    return whole;
+  }
+
+  /** No line in an object is empty, and a brace at a line's start begins the next object unless a value may stand there. */
+  private boolean goesOn(String line) {
+    return !line.isBlank() && (line.charAt(0) != '{' || ",[:".indexOf(last) >= 0);
+  }
+
+  private void count(char c) {
+    last = Character.isWhitespace(c) ? last : c;
+    if (inString) {
+      inString = escaped || c != '"';
+      escaped = !escaped && c == '\\';
+    } else if (c == '"') {
+      inString = true;
+    } else if (c == '{' || c == '[') {
+      depth++;
+    } else if (c == '}' || c == ']') {
+      depth--;
+    }
+  }
+}
--- a/proxy/src/main/java/lemondeal/discovery/Call.java
+++ b/proxy/src/main/java/lemondeal/discovery/Call.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import lemondeal.codec.HttpParser;
 import lemondeal.codec.Json;
+import lemondeal.codec.ObjectLines;
 import lemondeal.codec.ProtocolException;
 import lemondeal.config.Limits;
 import lemondeal.discovery.clock.ListClock;
@@ -26,6 +27,7 @@
   private final Consumer<Map<String, Object>> listed;
   private final Runnable failed;
   private final HttpParser parser;
+  private final ObjectLines objects;
   private Dial dial;
   private Link link;
   private Timers.Timer silence;
@@ -47,6 +49,7 @@
     this.listed = listed;
     this.failed = failed;
     parser = new HttpParser(limits.listLineBytes(), this);
+    objects = new ObjectLines(limits.listLineBytes());
   }
 
   void start(Net net, InetSocketAddress address) {
@@ -158,17 +161,30 @@
 
   @Override
   public void line(String line) throws ProtocolException {
-    if (over || (line.isEmpty() && answered)) {
+    if (over) {
       return;
     }
+    if (line.isBlank() && !objects.midObject()) {
+      if (watch && !answered) {
+        tell(Map.of());
+      }
+      return;
+    }
+    String object = objects.add(line);
+    if (object != null) {
+      tell(Json.object(object));
+    }
+  }
+
+  private void tell(Map<String, Object> list) {
     answered = true;
-    listed.accept(line.isEmpty() ? Map.of() : Json.object(line));
+    listed.accept(list);
   }
 
   @Override
   public void end() {
     if (!over) {
-      if (answered && !watch) {
+      if (answered && !watch && !objects.midObject()) {
         clock.answered(timers.now());
         stop();
       } else {
--- a/proxy/src/main/java/lemondeal/discovery/HostGroup.java
+++ b/proxy/src/main/java/lemondeal/discovery/HostGroup.java
@@ -72,9 +72,17 @@
     return index(names.models(), name);
   }
 
-  /** Takes in a list or a line of changes, whichever it says it is. */
+  /**
+   * Takes in a list or a line of changes, whichever it says it is.
+   *
+   * @throws ProtocolException if it can't be read, or is a whole list that names no instances: the one held stays
+   */
   public ServerList update(Map<String, Object> list) throws ProtocolException {
-    return take(list, Boolean.TRUE.equals(list.get("reset")) ? ListKind.FULL : ListKind.CHANGES);
+    boolean whole = Boolean.TRUE.equals(list.get("reset"));
+    if (whole && !list.containsKey("instances")) {
+      throw new ProtocolException("a whole list without instances");
+    }
+    return take(list, whole ? ListKind.FULL : ListKind.CHANGES);
   }
 
   /** The whole list that changes make of a list from before. */
--- a/proxy/src/test/java/lemondeal/proxy/DiscoveryClockTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/DiscoveryClockTest.java
@@ -13,6 +13,8 @@
 import lemondeal.Balancer.ServerState;
 import lemondeal.proxy.Site.Peer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** How discovery keeps to the list's clock, on loopback. The site's lists are pushed: its module asks for none. */
 class DiscoveryClockTest {
@@ -89,4 +91,38 @@
       assertEquals(ServerState.DRAINING, state(site.await(ServerList.class)));
     }
   }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"  ", "\t", ""})
+  void listsMayComeIndented(String indent) throws Exception {
+    try (Site site = new Site(DiscoveryClockTest::nothing)) {
+      Peer watch = open(site.atDiscovery());
+      write(watch, "\n");
+      site.await(ServerList.class);
+      String text = list(site, 2, true, "terminating").replace("[{", "[\n" + indent + "{\n" + indent)
+          .replace(",\"", ",\n" + indent + "\"");
+      for (int i = 0; i < text.length(); i += 50) {
+        write(watch, text.substring(i, Math.min(text.length(), i + 50)));
+      }
+      ServerList list = site.await(ServerList.class);
+      assertEquals(2, list.version());
+      assertEquals(ServerState.DRAINING, state(list));
+    }
+  }
+
+  /** What can't be read loses nothing: the list held stays, and a watch opened anew goes on from there. */
+  @ParameterizedTest
+  @ValueSource(strings = {"{\"generation\":9,\"reset\":true}\n", "{\"generation\":9,\"instances\":[{\"instan\n", "[]\n",
+      "{\"generation\":9,\"reset\":true,\"instances\":[{\"instanceId\":\"s-9\"}]}\n", "{\"generation\":9,\n\n",
+      "{\"generation\":9\n{\"generation\":10,\"instances\":[]}\n", "\u0001\n", "{\"generation\":9} {}\n"})
+  void aListThatCannotBeReadLosesNothing(String bad) throws Exception {
+    try (Site site = new Site(DiscoveryClockTest::nothing)) {
+      Peer watch = open(site.atDiscovery());
+      write(watch, list(site, 7, true, "in_service"));
+      assertEquals(7, site.await(ServerList.class).version());
+      write(watch, bad);
+      assertEquals("GET /api/targets?stream=1&index=7 HTTP/1.1", site.atDiscovery().line());
+      assertFalse(site.events.stream().anyMatch(ServerList.class::isInstance));
+    }
+  }
 }
