Take a LOAD that goes on from the last delay told for a delay, on a light connection too

Servers tell delays once a second, and a backlog can't change by more than the time that passes. A figure that comes within 50 ms of a second after the last delay told of that server, and differs from it by no more than that, is a delay too.

The test fails without either bound.

--- a/proxy/src/main/java/lemondeal/proxy/DelayMeter.java
+++ b/proxy/src/main/java/lemondeal/proxy/DelayMeter.java
@@ -17,10 +17,17 @@
 final class DelayMeter {
 
   private static final long NEVER = Long.MIN_VALUE / 2;
+  /** A delay told by a server comes within this part of a second after the last one. */
+  private static final long IN_TIME = 20;
+  /** Seconds of work that pile up or are done in one, with a little to spare. */
+  private static final double WORK_FLOWS = 1.2;
 
   private static final class Server {
     long notedAt = NEVER;
     boolean slow;
+    /** The last delay that it told itself, in milliseconds, and when. */
+    double toldMillis;
+    long toldAt = NEVER;
     /** When something last came from it. */
     long heardAt = NEVER;
     /** The connection that was last told to wait while nothing came, and when; null if there is none. */
@@ -77,6 +84,23 @@
     }
   }
 
+  /** The server told this delay itself, in milliseconds. */
+  void told(long now, String server, double millis) {
+    Server s = server(server);
+    s.toldMillis = millis;
+    s.toldAt = now;
+  }
+
+  /**
+   * Whether the figure goes on a row of delays that the server tells, one a second: it comes in time, and differs from
+   * the last by no more than the work that can have piled up or been done since.
+   */
+  boolean goesOn(long now, String server, double millis) {
+    Server s = server(server);
+    long since = now - s.toldAt;
+    return Math.abs(since - pause) <= pause / IN_TIME && Math.abs(millis - s.toldMillis) * 1000 <= WORK_FLOWS * since;
+  }
+
   /** A message of this execution took so long from line to answering line. */
   void measured(long now, String id, int attempt, String server, long micros) {
     Server s = server(server);
--- a/proxy/src/main/java/lemondeal/proxy/ServerNotes.java
+++ b/proxy/src/main/java/lemondeal/proxy/ServerNotes.java
@@ -60,9 +60,12 @@
     if (!(figure >= 0)) {
       return;
     }
-    context.decisions().tell(isDelay(figure)
-        ? new MessageDelay(id, execution.number(), execution.server(), figure)
-        : new LoadChanged(id, execution.number(), execution.server(), figure));
+    if (isDelay(figure)) {
+      context.delays().told(context.now(), execution.server(), figure);
+      context.decisions().tell(new MessageDelay(id, execution.number(), execution.server(), figure));
+    } else {
+      context.decisions().tell(new LoadChanged(id, execution.number(), execution.server(), figure));
+    }
   }
 
   /** Where the settings say that servers tell both, and the client gave no hint, a figure counts as a load. */
@@ -70,7 +73,7 @@
     return switch (context.config().loadLines()) {
       case LOADS -> false;
       case DELAYS -> true;
-      case BOTH -> figure < LEAST_LOAD * usualLoad;
+      case BOTH -> figure < LEAST_LOAD * usualLoad || context.delays().goesOn(context.now(), execution.server(), figure);
     };
   }
 
--- a/proxy/src/test/java/lemondeal/proxy/LoadLinesTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/LoadLinesTest.java
@@ -1,9 +1,14 @@
 package lemondeal.proxy;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import lemondeal.Balancer.LoadChanged;
 import lemondeal.Balancer.MessageDelay;
+import lemondeal.Balancer.Settings;
+import lemondeal.config.Limits;
 import lemondeal.proxy.Site.Peer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -25,6 +30,19 @@
     }
   }
 
+  /** A long delay, told on a light connection, looks like a load; that it goes on from the last one tells. */
+  @Test
+  void aFigureThatGoesOnFromTheLastDelayIsOne() {
+    Settings settings = new Settings(0, 1, 0, List.of(), List.of(), null, null, null, null, false, false, false, false,
+        false, 0);
+    DelayMeter delays = new DelayMeter(settings, Limits.of(1024, 192, 150_000, 5_000_000, 3_000_000), event -> { });
+    delays.told(5_000_000, "s", 1106.7);
+    assertTrue(delays.goesOn(6_010_000, "s", 1840.7));
+    assertFalse(delays.goesOn(6_010_000, "s", 5178.7), "too far from it");
+    assertFalse(delays.goesOn(5_600_000, "s", 1840.7), "not a second later");
+    assertFalse(delays.goesOn(6_010_000, "other", 1840.7));
+  }
+
   @Test
   void withoutAHintAFigureIsALoad() throws Exception {
     try (Site site = new Site(ProxyTest::sendOnce, BOTH)) {
