--- /dev/null
+++ b/proxy/src/main/java/lemondeal/fleet/Sections.java
@@ -0,0 +1,51 @@
+package lemondeal.fleet;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Map;
+import java.util.TreeMap;
+import lemondeal.fleet.wire.FleetSections;
+
+/** A row's content: what each subsystem shares, by its name. */
+public final class Sections {
+  private Sections() {}
+
+  /** The content with these sections; the same bytes whatever order they came in. */
+  public static byte[] content(Map<String, byte[]> sections) {
+    FleetSections.Builder builder = FleetSections.newBuilder();
+    sections.forEach((name, bytes) -> builder.putSections(name, ByteString.copyFrom(bytes)));
+    FleetSections message = builder.build();
+    byte[] content = new byte[message.getSerializedSize()];
+    CodedOutputStream out = CodedOutputStream.newInstance(content);
+    out.useDeterministicSerialization();
+    try {
+      message.writeTo(out);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return content;
+  }
+
+  static boolean areIn(byte[] content) {
+    try {
+      FleetSections.parseFrom(content);
+      return true;
+    } catch (InvalidProtocolBufferException e) {
+      return false;
+    }
+  }
+
+  /** @throws IllegalArgumentException where the content is none */
+  public static Map<String, byte[]> of(byte[] content) {
+    try {
+      Map<String, byte[]> sections = new TreeMap<>();
+      FleetSections.parseFrom(content).getSectionsMap().forEach((name, bytes) -> sections.put(name, bytes.toByteArray()));
+      return sections;
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalArgumentException(e.getMessage());
+    }
+  }
+}
