Compile failover policies: a YAML policy to the weights by zone of every promised case

Need: operators must know before a zone fails where its load goes and whether the rest can bear it.

Change: lemondeal.failover in five stages with a type each (source, checked model, cases, solved flows, plan) and the command compile-policy. SchemaCheck gives its tree with places, and finds the description of keys that the operator chooses.

A policy that cannot hold is refused with its smallest case only; sums and the least change follow.

--- a/proxy/src/main/java/lemondeal/cli/Lemondeal.java
+++ b/proxy/src/main/java/lemondeal/cli/Lemondeal.java
@@ -17,7 +17,7 @@
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {"0:done", "1:failed", "2:bad use or bad input, told in a line for each fault"},
     subcommands = {Lemondeal.ServeCommand.class, Lemondeal.Benchlink.class, CheckConfig.class, KeysCommand.class,
-        TokenCommand.class, AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class})
+        TokenCommand.class, CompilePolicy.class, AutoComplete.GenerateCompletion.class, CommandLine.HelpCommand.class})
 public final class Lemondeal implements Runnable {
   @Spec
   private CommandSpec spec;
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/failover/Cases.java
@@ -0,0 +1,14 @@
+package lemondeal.failover;
+
+import java.util.List;
+
+/**
+ * The third stage: every case that the plan must answer.
+ *
+ * @param all the normal case, then by the number of failed zones, then by these
+ */
+public record Cases(List<FailureCase> all) {
+  FailureCase normal() {
+    return all.get(0);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/failover/Terms.java
@@ -0,0 +1,14 @@
+package lemondeal.failover;
+
+/**
+ * The bounds that a flow must keep, apart from who may serve whom: what the least change changes.
+ *
+ * @param usable what each zone may bear
+ * @param zoneShare the largest share of the whole demand that may cross zones
+ * @param regionShare the same of regions
+ */
+record Terms(double[] usable, double zoneShare, double regionShare) {
+  static Terms of(PolicyModel model) {
+    return new Terms(model.usable(), model.zoneShare(), model.regionShare());
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/failover/Words.java
@@ -0,0 +1,22 @@
+package lemondeal.failover;
+
+import java.math.BigDecimal;
+import java.math.RoundingMode;
+import java.util.List;
+
+/** Numbers and lists as people read them, the same in every country. */
+final class Words {
+  private Words() {}
+
+  static String list(List<String> names) {
+    int last = names.size() - 1;
+    return last <= 0 ? String.join("", names)
+        : String.join(", ", names.subList(0, last)) + " and " + names.get(last);
+  }
+
+  /** At most four decimals, none that say nothing. */
+  static String number(double value) {
+    BigDecimal rounded = BigDecimal.valueOf(value).setScale(4, RoundingMode.HALF_UP).stripTrailingZeros();
+    return rounded.signum() == 0 ? "0" : rounded.toPlainString();
+  }
+}
--- a/proxy/src/main/java/lemondeal/operator/SchemaCheck.java
+++ b/proxy/src/main/java/lemondeal/operator/SchemaCheck.java
@@ -37,6 +37,11 @@
 
   /** The file's content, or {@link FileFaults} with all that is wrong. */
   public JsonNode read(Path file) {
+    return tree(file).root();
+  }
+
+  /** As {@link #read}, with the places, for faults that no schema can find. */
+  public YamlTree tree(Path file) {
     YamlTree tree = YamlTree.read(file);
     List<Fault> faults = new ArrayList<>();
     for (ValidationMessage message : schema.validate(tree.root())) {
@@ -46,7 +51,7 @@
       faults.sort(Comparator.comparingInt(Fault::line).thenComparingInt(Fault::column));
       throw new FileFaults(faults);
     }
-    return tree.root();
+    return tree;
   }
 
   private Fault fault(YamlTree tree, ValidationMessage message) {
@@ -80,7 +85,8 @@
   }
 
   private JsonNode child(JsonNode node, String key) {
-    return resolved(node.path("properties").path(key));
+    JsonNode named = node.path("properties").path(key);
+    return resolved(named.isMissingNode() ? node.path("additionalProperties") : named);
   }
 
   private JsonNode resolved(JsonNode node) {
--- a/proxy/src/main/java/lemondeal/operator/YamlTree.java
+++ b/proxy/src/main/java/lemondeal/operator/YamlTree.java
@@ -30,7 +30,7 @@
  * A YAML file as a tree in which every value knows its place. Jackson's own YAML reader was not taken, since its trees
  * have forgotten where they came from when a schema finds fault with them.
  */
-final class YamlTree {
+public final class YamlTree {
   private static final int LONGEST = 1 << 20;
   /** Guards against a few aliases that stand for billions of values. */
   private static final int MOST_VALUES = 20_000;
@@ -74,12 +74,13 @@
     }
   }
 
-  JsonNode root() {
+  /** The file's content; null's node for an empty file. */
+  public JsonNode root() {
     return root;
   }
 
-  /** A fault at the value that the JSON pointer names, or at the nearest one round it. */
-  Fault fault(String pointer, String what) {
+  /** A fault at the value that the JSON pointer names (at its key, with a '/' behind it), or at the nearest round it. */
+  public Fault fault(String pointer, String what) {
     String at = pointer;
     while (!places.containsKey(at) && !at.isEmpty()) {
       at = at.substring(0, at.lastIndexOf('/'));
@@ -130,7 +131,7 @@
   }
 
   /** A JSON pointer's own two characters. */
-  static String escaped(String key) {
+  public static String escaped(String key) {
     return key.replace("~", "~0").replace("/", "~1");
   }
 
