Read the operator's section fleet, refuse it where proxies may not tell, and wire its member in

Section 'fleet' (members, name, listen, life, tell) with its schema; what a schema can't say is checked in FleetSection, with file, line and column: SchemaCheck now also gives the tree with its places. Where the settings say that proxies may not tell (permissions.mayTell), Extras refuses the section with one line and exit 2; the same where this proxy is not among the members, or the address is taken.

OperatorTest has each fault with its place.

--- a/proxy/src/main/java/lemondeal/Extras.java
+++ b/proxy/src/main/java/lemondeal/Extras.java
@@ -17,6 +17,9 @@
 import lemondeal.consul.ConsulServices;
 import lemondeal.consul.ConsulSettings;
 import lemondeal.discovery.ListSource;
+import lemondeal.fleet.FleetMember;
+import lemondeal.fleet.FleetSettings;
+import lemondeal.fleet.link.GroupLink;
 import lemondeal.log.EventLog;
 import lemondeal.log.JsonLog;
 import lemondeal.log.PlainLog;
@@ -24,6 +27,7 @@
 import lemondeal.operator.FileFaults;
 import lemondeal.operator.KeyFile;
 import lemondeal.operator.Operator;
+import lemondeal.proxy.Proxy;
 import lemondeal.resume.Resumption;
 
 /** What the operator's own file adds to a proxy. Nothing of this is loaded where there is no such file. */
@@ -34,6 +38,8 @@
   private Resumption resumption;
   /** Null unless claims are made in a fleet's store. */
   private FleetStore fleet;
+  /** Null unless the proxies of the fleet tell each other rows. */
+  private FleetMember member;
   /** Null unless servers are listed by Consul, and until the proxy has made it. */
   private ConsulServices consul;
 
@@ -64,6 +70,35 @@
   void begin(Config config) {
     log = operator.jsonLog() ? new JsonLog(System.err, config.name()) : new PlainLog(System.err);
     resumption = operator.resume() == null ? null : resumption(file, operator.resume(), config, log);
+    member = operator.fleet() == null ? null : member(operator.fleet(), config, log);
+  }
+
+  private static FleetMember member(Operator.Fleet section, Config config, EventLog log) {
+    FleetSettings settings = section.settings();
+    String name = settings.name() != null ? settings.name() : config.name();
+    if (!config.settings().limits().mayTellPeers()) {
+      throw new ConfigException(section.fault("fleet: the platform's settings forbid that proxies tell each other anything"
+          + " (permissions.mayTell is not true); allowed: no section fleet").toString());
+    }
+    if (!settings.roster().names(name)) {
+      throw new ConfigException(section.fault("fleet.members: this proxy, '" + name + "', is not among them; allowed: its"
+          + " name there, or fleet.name").toString());
+    }
+    // Greater than before a restart, as long as this machine's own clock is not set back: docs/FLEET-DESIGN.md.
+    long incarnation = System.currentTimeMillis();
+    return new FleetMember(settings, name, incarnation, new GroupLink(settings, name, incarnation, log), log);
+  }
+
+  /** Begins what needs the running proxy; throws where an address can't be listened on. */
+  void begin(Proxy proxy) {
+    if (member != null) {
+      try {
+        member.start(proxy.executor(), proxy.timers());
+      } catch (IOException e) {
+        throw new ConfigException(operator.fleet().fault(e.getMessage()).toString());
+      }
+      proxy.count(member::addTo);
+    }
   }
 
   private Resumption resumption(Path file, Operator.Resume section, Config config, EventLog log) {
@@ -169,11 +204,20 @@
 
   /** Whether all that is taken at the start alone stayed as it was. */
   private boolean sameBut(Operator fresh) {
-    return new Operator(fresh.jsonLog(), fresh.ringsMb(), operator.consul(), fresh.resume()).equals(operator);
+    return new Operator(fresh.jsonLog(), fresh.ringsMb(), operator.consul(), fresh.resume(),
+        sameFleet(fresh) ? operator.fleet() : fresh.fleet()).equals(operator);
+  }
+
+  private boolean sameFleet(Operator fresh) {
+    return fresh.fleet() != null && operator.fleet() != null
+        && fresh.fleet().settings().equals(operator.fleet().settings());
   }
 
   @Override
   public void close() {
+    if (member != null) {
+      member.close();
+    }
     if (consul != null) {
       consul.close();
     }
--- a/proxy/src/main/java/lemondeal/Serve.java
+++ b/proxy/src/main/java/lemondeal/Serve.java
@@ -40,6 +40,9 @@
           extras == null ? () -> { } : extras::reload);
       Hangup.handle(reload::request);
       proxy.start();
+      if (extras != null) {
+        extras.begin(proxy);
+      }
       String address = Addresses.text(proxy.localAddress());
       log.info("listening", "lemondeal: listening on " + address, "address", address);
       if (proxy.adminAddress() != null) {
--- a/proxy/src/main/java/lemondeal/operator/Operator.java
+++ b/proxy/src/main/java/lemondeal/operator/Operator.java
@@ -10,6 +10,7 @@
 import lemondeal.config.Addresses;
 import lemondeal.config.TlsFiles;
 import lemondeal.consul.ConsulSettings;
+import lemondeal.fleet.FleetSettings;
 import lemondeal.resume.ResumeSettings;
 
 /**
@@ -19,10 +20,11 @@
  * @param ringsMb megabytes that ring buffers may take at most; 0 where the platform's bound holds
  * @param consul the services that list the servers in Consul; empty where they are not listed there
  * @param resume null where no client can resume
+ * @param fleet null where the proxies tell each other nothing
  */
-public record Operator(boolean jsonLog, int ringsMb, List<ConsulService> consul, Resume resume) {
+public record Operator(boolean jsonLog, int ringsMb, List<ConsulService> consul, Resume resume, Fleet fleet) {
   /** What an installation without such a file has. */
-  public static final Operator NONE = new Operator(false, 0, List.of(), null);
+  public static final Operator NONE = new Operator(false, 0, List.of(), null, null);
 
   private static final long SECOND = 1000;
   private static final int WINDOW = 256;
@@ -36,6 +38,18 @@
    */
   public record ConsulService(ConsulSettings settings, List<String> classes) {}
 
+  /**
+   * The section {@code fleet}.
+   *
+   * @param place where it stands in the file, for what is wrong with it beside the file's own rules
+   */
+  public record Fleet(FleetSettings settings, Fault place) {
+    /** A fault of the section as a whole. */
+    public Fault fault(String what) {
+      return new Fault(place.file(), place.line(), place.column(), what);
+    }
+  }
+
   /** Where claims are made. */
   public enum ClaimsIn { MEMORY, DISK, FLEET }
 
@@ -53,13 +67,15 @@
 
   /** Reads and checks the file; throws {@link FileFaults} with all that is wrong with it. */
   public static Operator read(Path file) {
-    JsonNode root = new SchemaCheck("operator.schema.json").read(file);
+    YamlTree tree = new SchemaCheck("operator.schema.json").tree(file);
+    JsonNode root = tree.root();
     List<Fault> faults = new ArrayList<>();
     Operator operator = new Operator(root.path("log").path("format").asText("plain").equals("json"),
         root.path("limits").path("rings_mb").asInt(0),
         root.path("discovery").has("consul") ? new ConsulSection(root.path("discovery").get("consul"), file,
             what -> faults.add(new Fault(file.toString(), 0, 0, what))).services() : List.of(),
-        root.has("resume") ? new Section(file, root.get("resume"), faults).resume() : null);
+        root.has("resume") ? new Section(file, root.get("resume"), faults).resume() : null,
+        root.has("fleet") ? new FleetSection(tree, faults).fleet() : null);
     if (!faults.isEmpty()) {
       throw new FileFaults(faults);
     }
--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -25,6 +25,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.Executor;
 import java.util.function.Consumer;
 import lemondeal.admin.Admin;
 import lemondeal.config.Config;
@@ -39,6 +40,7 @@
 import lemondeal.net.Link;
 import lemondeal.net.Listener;
 import lemondeal.net.Net;
+import lemondeal.net.Timers;
 import lemondeal.resume.Continuity;
 import lemondeal.resume.Resumption;
 import org.xnio.XnioIoThread;
@@ -67,6 +69,8 @@
   private boolean accepting;
   private boolean stopping;
   private XnioIoThread.Key nextAdvance;
+  /** Null where nothing else is counted. */
+  private Consumer<Map<String, Long>> more;
 
   /** A proxy without anything of an operator's own. */
   public Proxy(Config config, Balancer module, PrintStream log) throws IOException {
@@ -161,6 +165,21 @@
     new Newcomer(context, gate, newcomers, link).start();
   }
 
+  /** Runs tasks on the I/O thread, for what comes from threads of others; from any thread. */
+  public Executor executor() {
+    return net::later;
+  }
+
+  /** Deadlines on the I/O thread; for use there alone. */
+  public Timers timers() {
+    return wheel;
+  }
+
+  /** Has these figures told on the second address, too. */
+  public void count(Consumer<Map<String, Long>> figuresOfMore) {
+    net.later(() -> more = figuresOfMore);
+  }
+
   /** Takes over a configuration read anew and checked; may be called on any thread, also during a stop. */
   public void reconfigure(Config fresh) {
     net.later(() -> discovery.reconfigure(fresh));
@@ -203,6 +222,9 @@
     if (resumption != null) {
       resumption.addTo(all);
     }
+    if (more != null) {
+      more.accept(all);
+    }
     return all;
   }
 
--- a/proxy/src/test/java/lemondeal/operator/OperatorTest.java
+++ b/proxy/src/test/java/lemondeal/operator/OperatorTest.java
@@ -67,7 +67,7 @@
   void allFaultsAreToldAtOnceEachWithItsPlace() throws IOException {
     assertEquals(List.of(
         "1:10 version: found 2; allowed: the whole number 1",
-        "2:1 the file: unknown key 'logg'; allowed: discovery, limits, log, resume, version",
+        "2:1 the file: unknown key 'logg'; allowed: discovery, fleet, limits, log, resume, version",
         "4:3 resume: the key 'keys' is missing; allowed: the path of a key file",
         "4:12 resume.classes: found []; allowed: a list of at least one class, each named once",
         "5:9 resume.life: found \"5 seconds\"; allowed: a time such as 250ms, 30s or 5m, 1ms to 24h",
@@ -245,4 +245,44 @@
     assertFalse(message.contains(secret.substring(0, 8)), message);
     assertTrue(message.contains("6:13: keys[0].secret: allowed: 44 characters"), message);
   }
+
+  private static final String FLEET = """
+      version: 1
+      fleet:
+        members:
+          - {name: p-1, zone: a, address: "127.0.0.1:7801"}
+          - {name: p-2, zone: b, address: "127.0.0.1:7802"}
+      """;
+
+  @Test
+  void theFleetIsReadAndWhatIsLeftOutHasItsDefault() throws IOException {
+    Operator.Fleet fleet = Operator.read(file(FLEET)).fleet();
+    assertEquals(2_000, fleet.settings().lifeMillis());
+    assertEquals(200, fleet.settings().tellMillis());
+    assertEquals("b", fleet.settings().roster().member("p-2").zone());
+    assertTrue(fleet.fault("refused").toString().endsWith("operator.yaml:2:1: refused"), fleet.fault("").toString());
+    Operator.Fleet other = Operator.read(file(FLEET + "  name: p-2\n  listen: 127.0.0.1:7900\n  life: 9s\n  tell: 1s\n")).fleet();
+    assertEquals("p-2", other.settings().name());
+    assertEquals(7900, other.settings().listen().getPort());
+    assertEquals(9_000, other.settings().lifeMillis());
+    assertEquals(1_000, other.settings().tellMillis());
+  }
+
+  @Test
+  void faultsOfTheFleetHaveTheirLines() throws IOException {
+    assertEquals(List.of("6:9 fleet.life: found 1000 ms; allowed: at least 1500 ms, and 5 times fleet.tell, 200 ms"),
+        faults(FLEET + "  life: 1s\n"));
+    assertEquals(List.of("3:3 fleet.life: found 2000 ms; allowed: at least 1500 ms, and 5 times fleet.tell, 500 ms"),
+        faults(FLEET + "  tell: 500ms\n"));
+    assertEquals(List.of("6:9 fleet.name: found 'p-3'; allowed: one of fleet.members"), faults(FLEET + "  name: p-3\n"));
+    assertEquals(List.of("5:14 fleet.members[1].name: 'p-1' stands twice; allowed: each name once"),
+        faults(FLEET.replace("name: p-2", "name: p-1")));
+    assertEquals(List.of("5:37 fleet.members[1].address: 127.0.0.1:7801 stands twice; allowed: each address once"),
+        faults(FLEET.replace("7802", "7801")));
+    assertEquals(List.of("5:37 fleet.members[1].address: found [::1]:7802; allowed: a numeric IPv4 address:port"),
+        faults(FLEET.replace("127.0.0.1:7802", "[::1]:7802")));
+    assertEquals(List.of("6:11 fleet.listen: 'here:1' is no numeric address:port"), faults(FLEET + "  listen: here:1\n"));
+    assertEquals(1, faults(FLEET.replace("zone: b, ", "")).size());
+    assertEquals(1, faults("version: 1\nfleet: {members: [{name: a, zone: a, address: \"127.0.0.1:1\"}]}\n").size());
+  }
 }
