--- a/lab/src/main/java/lemondeal/lab/ServeProcess.java
+++ b/lab/src/main/java/lemondeal/lab/ServeProcess.java
@@ -67,7 +67,7 @@
     ServeProcess serve = new ServeProcess(builder.start());
     String line = serve.await("listening on ");
     serve.address = new InetSocketAddress(InetAddress.getLoopbackAddress(),
-        Integer.parseInt(line.substring(line.lastIndexOf(':') + 1).replaceAll("[^0-9].*", "")));
+        Integer.parseInt(line.replaceAll(".*listening on [0-9.]+:([0-9]+).*", "$1")));
     return serve;
   }
 
--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/site/FleetSite.java
@@ -0,0 +1,169 @@
+package lemondeal.lab.site;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.stream.Stream;
+import lemondeal.lab.ServeProcess;
+
+/**
+ * A fleet of real proxies on loopback that tell each other rows, with a {@link Relay} in each direction of each pair. A
+ * proxy is named {@code n} and its place; they stand in the zones {@code a} and {@code b} in turn. Ended with its owner.
+ */
+public final class FleetSite implements AutoCloseable {
+  private static final String SIGHT = "\"event\":\"fleet-sight\"";
+
+  private final Path folder;
+  private final int count;
+  private final List<InetSocketAddress> listens = new ArrayList<>();
+  private final Relay[][] relays;
+  private final ServeProcess[] proxies;
+  private final String more;
+  private final InetSocketAddress discovery;
+
+  /**
+   * Makes the site; nothing runs yet.
+   *
+   * @param more lines of the operator's section {@code fleet} beside the members
+   * @param discovery where the proxies list their servers
+   */
+  public FleetSite(int count, long seed, String more, InetSocketAddress discovery) throws IOException {
+    this.count = count;
+    this.more = more;
+    this.discovery = discovery;
+    folder = Files.createTempDirectory("lemondeal-fleet");
+    relays = new Relay[count][count];
+    proxies = new ServeProcess[count];
+    List<ServerSocket> held = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      held.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+      listens.add((InetSocketAddress) held.get(i).getLocalSocketAddress());
+    }
+    for (ServerSocket socket : held) {
+      socket.close();
+    }
+    for (int from = 0; from < count; from++) {
+      for (int to = 0; to < count; to++) {
+        relays[from][to] = from == to ? null : new Relay(listens.get(to), seed + from * count + to);
+      }
+    }
+  }
+
+  public static String name(int i) {
+    return "n" + i;
+  }
+
+  /** Starts the proxy of this place, or starts it again. */
+  public ServeProcess start(int i) throws IOException, InterruptedException {
+    proxies[i] = ServeProcess.start(config(i, true), operatorFile(i));
+    return proxies[i];
+  }
+
+  /** The platform's configuration of a proxy; {@code mayTell}: whether it says that proxies may tell each other. */
+  public Path config(int i, boolean mayTell) throws IOException {
+    return Files.writeString(folder.resolve("proxy-" + i + ".json"), """
+        {"name":"%s","listen":"127.0.0.1:0","admin_addr":"127.0.0.1:0","discovery":"127.0.0.1:%d","seed":"%x",
+         "limits":{"sockets":4096,"memory_mb":192},
+         "known":{"generation":0,"reset":true,"instances":[]},
+         "settings":{"slotNo":%d,"balancers":%d,"azs":["a","b"],"flavors":["m"],"membershipMode":"subscribe",
+           "familyInfo":{"mode":"proxy","groups":false,"messageAim":[1000000]},
+           "permissions":{"dialTimeout":500000,"keepalive":5000000,"cancelling":true,"retryAfter":true,"mayTell":%b,
+             "maxRetryAfter":2000000,"tryLimit":3,"cpuUsPerS":1000000},
+           "rules":{"answerSlack":20000,"drainGrace":1000000,"fallMultiple":4.0,"overloadFor":2000000,
+             "coldFrom":0.35,"warmWithin":9000000},
+           "prices":{"crossZone":0.03,"waste":0.2,"probe":0.0023,"moves":0.01},
+           "profiles":[{"name":"chat","semantics":"idempotent","aim":500000,"hardLimit":2000000}]}}
+        """.formatted(name(i), discovery.getPort(), i + 1, i, count, mayTell));
+  }
+
+  /** The operator's own file of a proxy. */
+  public Path operatorFile(int i) throws IOException {
+    StringBuilder members = new StringBuilder();
+    for (int other = 0; other < count; other++) {
+      InetSocketAddress address = other == i ? listens.get(i) : relays[i][other].address();
+      members.append("    - {name: %s, zone: %s, address: '127.0.0.1:%d'}\n".formatted(name(other),
+          other % 2 == 0 ? "a" : "b", address.getPort()));
+    }
+    return Files.writeString(folder.resolve("operator-" + i + ".yaml"),
+        "version: 1\nlog: {format: json}\nfleet:\n  members:\n" + members + more.indent(2));
+  }
+
+  public ServeProcess proxy(int i) {
+    return proxies[i];
+  }
+
+  /** Where this proxy hears the others. */
+  public InetSocketAddress listen(int i) {
+    return listens.get(i);
+  }
+
+  /** What one proxy sends to another passes here. */
+  public Relay relay(int from, int to) {
+    return relays[from][to];
+  }
+
+  /** From now on bytes between this proxy and all others pass so, both ways. */
+  public void let(int i, Passage passage) {
+    for (int other = 0; other < count; other++) {
+      if (other != i) {
+        relays[i][other].let(passage);
+        relays[other][i].let(passage);
+      }
+    }
+  }
+
+  /** Sends a signal such as STOP or CONT. */
+  public void signal(int i, String signal) throws IOException, InterruptedException {
+    new ProcessBuilder("kill", "-" + signal, Long.toString(proxies[i].pid())).start().waitFor();
+  }
+
+  /** Whom the proxy has in sight by its log, as it says: names with blanks between. Null before it has said any. */
+  public String sight(int i) {
+    String last = null;
+    for (String line : proxies[i].log()) {
+      if (line.contains(SIGHT)) {
+        int from = line.indexOf("\"in_sight\":\"") + "\"in_sight\":\"".length();
+        last = line.substring(from, line.indexOf('"', from));
+      }
+    }
+    return last;
+  }
+
+  /** Waits until the proxy has exactly these in sight; how long that took, in milliseconds. */
+  public long awaitSight(int i, String names, long patienceSeconds) throws IOException, InterruptedException {
+    long begin = System.nanoTime();
+    while (!names.equals(sight(i))) {
+      if (System.nanoTime() - begin > patienceSeconds * 1_000_000_000L) {
+        throw new IOException(name(i) + " has " + sight(i) + " in sight, not " + names + ": " + proxies[i].log());
+      }
+      Thread.sleep(10);
+    }
+    return (System.nanoTime() - begin) / 1_000_000;
+  }
+
+  @Override
+  public void close() {
+    for (int i = 0; i < count; i++) {
+      if (proxies[i] != null) {
+        proxies[i].close();
+      }
+      for (Relay relay : relays[i]) {
+        if (relay != null) {
+          relay.close();
+        }
+      }
+    }
+    try (Stream<Path> files = Files.walk(folder)) {
+      files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
