Pass a server's lines on whole, so that a client can always be moved

Where a server hangs in the middle of a line, half of that line had been passed on to the client, and no place was left for a MOVE: moveNow left it out (`if (execution.betweenLines() && ...)`) and the client was cut off, at once for a connection that fell silent and at the end of a stop.

Lines of a server now go on when they are whole, as those of clients that can resume already did; nothing is later than before, since a line is whole with its last byte. A half line that a server leaves behind is left out, and MOVE always has its place. Continuity.passesWholeLines goes.

--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -296,29 +296,19 @@
   }
 
   /**
-   * Bytes that {@link #pass} takes now, with room for a MOVE kept back. Guards against a client that reads
+   * Bytes that {@link #passLine} takes now, with room for a MOVE kept back. Guards against a client that reads
    * slowly: what the server's side has room for says nothing of the client's.
    */
   int roomTowardsClient() {
     return Math.max(0, link.free() - continuity.moveBytes());
   }
 
-  /** Passes bytes of the server on to the client, for which there was room. */
-  void pass(ByteBuffer bytes) {
-    link.send(bytes);
-  }
-
-  /** Whether what the server sends is passed on line by line. */
-  boolean passesWholeLines() {
-    return continuity.passesWholeLines();
-  }
-
   /** Passes a whole line of the server on, for which there was room. */
   void passLine(String line) {
     link.send(continuity.fromServer(line));
   }
 
-  /** A line of the proxy's own between two others: those of a client that can resume are passed on whole. */
+  /** A line of the proxy's own between two others. */
   @Override
   public boolean say(String line) {
     int bytes = line.length() + 2;
@@ -366,12 +356,13 @@
     }
   }
 
+  /** A line of which only a part has come is left out: all that was passed on are whole ones. */
   private void moveNow(Outcome outcome) {
     if (state != State.UP) {
       return;
     }
     leave();
-    if (execution.betweenLines() && link.free() >= continuity.moveBytes()) {
+    if (link.free() >= continuity.moveBytes()) {
       link.send(continuity.move());
     }
     link.finish();
--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -49,9 +49,9 @@
     return context.now() - begun;
   }
 
-  /** Whether the bytes passed to the client end with a whole line. */
+  /** Whether nothing of a line has come that is not whole yet. */
   boolean betweenLines() {
-    return client.passesWholeLines() || !lines.midLine();
+    return !lines.midLine();
   }
 
   /** Dials, and waits for {@code UP} until the time is up. */
@@ -126,8 +126,7 @@
 
   @Override
   public int room() {
-    int kept = client.passesWholeLines() ? lines.pending() : 0;
-    return up ? Math.max(0, client.roomTowardsClient() - kept) : context.limits().lineBytes();
+    return up ? Math.max(0, client.roomTowardsClient() - lines.pending()) : context.limits().lineBytes();
   }
 
   @Override
@@ -171,19 +170,15 @@
   }
 
   /**
-   * Passes the bytes on unchanged and tells of their lines. A line goes out before it is told: what the
-   * module decides on it may be a move, which must not overtake or swallow the line.
+   * Passes lines on as soon as they are whole, and tells of them. Guards the client of a server that hangs in the
+   * middle of a line: with half of it passed on there was no place left for a MOVE. A line goes out before it is told:
+   * what the module decides on it may be a move, which must not overtake or swallow the line.
    */
   private void pass(ByteBuffer bytes) throws ProtocolException {
     while (bytes.hasRemaining() && !over) {
-      int start = bytes.position();
       String line = lines.next(bytes);
-      if (!client.passesWholeLines()) {
-        client.pass(bytes.duplicate().limit(bytes.position()).position(start));
-      } else if (line != null) {
-        client.passLine(line);
-      }
       if (line != null) {
+        client.passLine(line);
         last = ServerLine.parse(line);
         client.lineFromServer(last);
       }
--- a/proxy/src/main/java/lemondeal/resume/Continuity.java
+++ b/proxy/src/main/java/lemondeal/resume/Continuity.java
@@ -42,9 +42,6 @@
   /** The connection is up. What the client is told behind the {@code UP}, with its end; may be empty. */
   String up(int attempt, String server, String upLine);
 
-  /** Whether lines of the server are passed on whole, each through {@link #fromServer}. */
-  boolean passesWholeLines();
-
   /** A line of the server, without its end; what is passed on instead, with its end. */
   String fromServer(String line);
 
@@ -93,11 +90,6 @@
       return "";
     }
 
-    @Override
-    public boolean passesWholeLines() {
-      return false;
-    }
-
     @Override
     public String fromServer(String line) {
       return line + "\r\n";
--- a/proxy/src/main/java/lemondeal/resume/Resumable.java
+++ b/proxy/src/main/java/lemondeal/resume/Resumable.java
@@ -43,7 +43,7 @@
   /** Whether it can be resumed. */
   private boolean tracked;
   /** Stays so once a session has stood: what has come of a line is held back, and must be passed on with its rest. */
-  private boolean wholeLines;
+  private boolean resumes;
   private boolean moved;
   private long tokenAt;
   private long tokenToClient;
@@ -177,7 +177,7 @@
       return "RESUME " + how + " -" + END;
     }
     tracked = true;
-    wholeLines = true;
+    resumes = true;
     later();
     return "RESUME " + how + " " + token() + END;
   }
@@ -190,11 +190,6 @@
 
   // ---- Passing on ------------------------------------------------------------------------------
 
-  @Override
-  public boolean passesWholeLines() {
-    return wholeLines;
-  }
-
   @Override
   public String fromServer(String line) {
     int space = line.indexOf(' ');
@@ -227,7 +222,7 @@
 
   @Override
   public boolean answers(ServerLine line) {
-    return !wholeLines || !line.isAcknowledgement();
+    return !resumes || !line.isAcknowledgement();
   }
 
   @Override
--- a/proxy/src/test/java/lemondeal/proxy/ProxyTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -207,17 +207,15 @@
       Peer client = site.client(OPEN);
       Peer server = up(site, client);
       ids.add(site.await(Established.class).id());
-      server.send("hel");
-      for (char c : "hel".toCharArray()) {
-        assertEquals(c, client.socket.getInputStream().read());
-      }
+      server.send("before\r\nhel");
+      assertEquals("before", client.line());
       up(site, site.client(OPEN)).send("LOAD 1\r\n");
       site.await(LoadChanged.class);
       // Nothing happens until then: that a pause in a line ends nothing is what is tested.
       client.socket.setSoTimeout(1200);
       assertThrows(SocketTimeoutException.class, () -> client.socket.getInputStream().read());
       server.send("lo\r\n");
-      assertEquals("lo", client.line());
+      assertEquals("hello", client.line());
       assertEquals("MOVE", client.line());
     }
   }
