Let in whoever waits in the listen queue before a stopping proxy closes it

The system resets what waits in the queue of a socket that closes. They are let in first now, and throttled as all others.

--- a/proxy/src/main/java/lemondeal/net/Listener.java
+++ b/proxy/src/main/java/lemondeal/net/Listener.java
@@ -75,7 +75,14 @@
     server.suspendAccepts();
   }
 
-  public void close() {
+  /**
+   * Closes the socket, once all who wait in the system's queue are let in. Guards those who came while this process
+   * was busy: the system resets whoever waits there, though their lines have been taken.
+   */
+  public void acceptRestAndClose() {
+    while (acceptOne()) {
+      continue;
+    }
     IoUtils.safeClose(server);
   }
 
@@ -84,17 +91,24 @@
    * that come again as soon as they are turned away: there was always one more, and nothing was read meanwhile.
    */
   private void accept() {
+    for (int i = 0; i < turn && acceptOne(); i++) {
+      continue;
+    }
+  }
+
+  /** Lets one connection in; false if none waits. */
+  private boolean acceptOne() {
     try {
-      for (int i = 0; i < turn; i++) {
-        StreamConnection next = server.isOpen() ? server.accept() : null;
-        if (next == null) {
-          return;
-        }
-        Link link = new Link(net, next);
-        link.guarded(() -> accepted.accept(link));
+      StreamConnection next = server.isOpen() ? server.accept() : null;
+      if (next == null) {
+        return false;
       }
+      Link link = new Link(net, next);
+      link.guarded(() -> accepted.accept(link));
+      return true;
     } catch (IOException e) {
       net.faults().tell("accepting failed: " + e.getMessage());
+      return false;
     }
   }
 }
--- a/proxy/src/main/java/lemondeal/proxy/Stop.java
+++ b/proxy/src/main/java/lemondeal/proxy/Stop.java
@@ -36,7 +36,7 @@
     timers.after(limits.drainMost(), done::countDown);
     gate.close(() -> { });
     timers.after(limits.drainAccept(), () -> {
-      own.close();
+      own.acceptRestAndClose();
       timers.after(requests.isEmpty() ? 0 : limits.drainHold(), () -> moveWithin(limits.drainSpread()));
     });
   }
