Answer or move whoever is left shortly before a stop ends

A request whose deadline lies beyond the time that a stop has (longest deadline over 3 s, counted as 3 s), one that waits for a connection that was open before, and a client whose server hangs in the middle of a line were all cut off by the end of the process, without a word: Stop counted down at drainMost whatever was still inside.

At drainMost less the linger, the longest deadline after SIGTERM and 0.7 s before SIGKILL can come, those who are up get MOVE and all others ERR; it may have run, so they are not throttled. They have 0.5 s to read it.

--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -342,6 +342,18 @@
 
   // ---- Ends ----------------------------------------------------------------------------------
 
+  /**
+   * Ends the connection now, as nobody will be here to go on: with its MOVE, or with the answer that is owed. A request
+   * whose server has not answered is failed and not throttled, since it may have run.
+   */
+  void endNow() {
+    if (state == State.UP) {
+      moveNow(Outcome.CANCELLED);
+    } else if (state == State.WAITING) {
+      refuse();
+    }
+  }
+
   /** Sends the client away between two lines, or after a while without the end of one. */
   void move() {
     if (state != State.UP || moving) {
--- a/proxy/src/main/java/lemondeal/proxy/Stop.java
+++ b/proxy/src/main/java/lemondeal/proxy/Stop.java
@@ -33,7 +33,7 @@
 
   /** For a process that has the clients' listening socket for itself. */
   void begin(Listener own) {
-    timers.after(limits.drainMost(), done::countDown);
+    endInTime();
     gate.close(() -> { });
     timers.after(limits.drainAccept(), () -> {
       own.acceptRestAndClose();
@@ -46,11 +46,21 @@
    * count against the upgrade. The others have where to go at once, and so all of the time is used to move them.
    */
   void handOver(Listener shared) {
-    timers.after(limits.drainMost(), done::countDown);
+    endInTime();
     shared.suspend();
     moveWithin(limits.drainAccept() + limits.drainHold() + limits.drainSpread());
   }
 
+  /**
+   * Whoever is still inside shortly before the end gets what is owed. Guards the clients of a server that hangs: one
+   * in the middle of a line, and a request that would wait longer than this process may, were cut off without a word.
+   */
+  private void endInTime() {
+    timers.after(limits.drainMost() - limits.linger(),
+        () -> requests.all().forEach(client -> client.link().guarded(client::endNow)));
+    timers.after(limits.drainMost(), done::countDown);
+  }
+
   void await() throws InterruptedException {
     done.await();
   }
--- a/proxy/src/test/java/lemondeal/proxy/Site.java
+++ b/proxy/src/test/java/lemondeal/proxy/Site.java
@@ -82,6 +82,7 @@
   }
 
   private int clients;
+  private final long longestDeadline;
   private final Path file;
   private final Config config;
   private final ServerSocket server = listener();
@@ -105,6 +106,11 @@
     this(script, family, sockets, System.err, null);
   }
 
+  /** A proxy whose clients wait so many microseconds at the longest. */
+  Site(Function<Event, List<Action>> script, long longestDeadline) throws IOException {
+    this(script, "", 1024, System.err, null, null, longestDeadline);
+  }
+
   Site(Function<Event, List<Action>> script, PrintStream log) throws IOException {
     this(script, "", 1024, log, null);
   }
@@ -126,6 +132,12 @@
 
   private Site(Function<Event, List<Action>> script, String family, int sockets, PrintStream log,
       ServerSocketChannel shared, Resumption resumption) throws IOException {
+    this(script, family, sockets, log, shared, resumption, 2_000_000);
+  }
+
+  private Site(Function<Event, List<Action>> script, String family, int sockets, PrintStream log,
+      ServerSocketChannel shared, Resumption resumption, long longestDeadline) throws IOException {
+    this.longestDeadline = longestDeadline;
     file = Files.createTempFile("lemondeal", ".json");
     Files.writeString(file, config(family, sockets));
     module = new Scripted(event -> {
@@ -149,8 +161,8 @@
          "known":{"generation":1,"reset":true,"instances":[%s]},
          "settings":{"azs":["a"],"flavors":["m"],"familyInfo":{%s "messageAim":[60000]},
            "permissions":{"dialTimeout":500000,"cancelling":true},
-           "profiles":[{"name":"chat","semantics":"idempotent","aim":1000000,"hardLimit":2000000}]}}
-        """.formatted(discovery.getLocalPort(), sockets, instance("in_service"), family);
+           "profiles":[{"name":"chat","semantics":"idempotent","aim":1000000,"hardLimit":%d}]}}
+        """.formatted(discovery.getLocalPort(), sockets, instance("in_service"), family, longestDeadline);
   }
 
   /** The site's server as discovery would list it. */
