--- a/proxy/src/main/java/lemondeal/failover/LeastChange.java
+++ b/proxy/src/main/java/lemondeal/failover/LeastChange.java
@@ -85,7 +85,7 @@
   private boolean gather(Terms terms) {
     int before = cuts.size();
     for (boolean[] failed : broken) {
-      Cut cut = Cut.of(model, terms, failed);
+      Cut cut = Bottleneck.strongest(model, terms, failed);
       if (cut.shortfall(model, terms) > model.noise()) {
         cuts.add(cut);
       }
--- a/proxy/src/main/java/lemondeal/failover/PolicyCompiler.java
+++ b/proxy/src/main/java/lemondeal/failover/PolicyCompiler.java
@@ -52,7 +52,7 @@
   /** Null only where a certificate says so: a bound that is met to the last digit is met. */
   private static double[][] flows(PolicyModel model, Terms terms, boolean[] failed, double[][] before) {
     double[][] flows = new CaseSolver(model, terms, failed, before).solve();
-    if (flows != null || Cut.of(model, terms, failed).shortfall(model, terms) > model.noise()) {
+    if (flows != null || Bottleneck.strongest(model, terms, failed).shortfall(model, terms) > model.noise()) {
       return flows;
     }
     double slack = 1.5 * model.noise() / model.wholeDemand();
--- a/proxy/src/main/java/lemondeal/failover/Program.java
+++ b/proxy/src/main/java/lemondeal/failover/Program.java
@@ -6,6 +6,7 @@
 import org.ojalgo.OjAlgoUtils;
 import org.ojalgo.optimisation.Optimisation;
 import org.ojalgo.optimisation.linear.LinearSolver;
+import org.ojalgo.structure.Access1D;
 
 /**
  * One linear program, to be minimised: the only class that knows the library. Variables are at least 0. Loads go in and
@@ -75,6 +76,26 @@
 
   /** The variables' values, or null where no values fit. */
   double[] solve() {
+    Optimisation.Result result = result();
+    if (!result.getState().isFeasible()) {
+      return null;
+    }
+    double[] values = new double[variables.size()];
+    Arrays.setAll(values, i -> Math.max(0, result.doubleValue(i) / scale));
+    return values;
+  }
+
+  /** What one more unit of each row's bound would save, for a program without equations that all zeros satisfy. */
+  double[] worth() {
+    double[] worth = new double[rows.size()];
+    if (!variables.isEmpty()) {
+      Access1D<?> multipliers = result().getMultipliers().orElseThrow();
+      Arrays.setAll(worth, multipliers::doubleValue);
+    }
+    return worth;
+  }
+
+  private Optimisation.Result result() {
     LinearSolver.Builder builder = LinearSolver.newBuilder();
     builder.objective(variables.stream().mapToDouble(variable -> variable[0]).toArray());
     builder.lower(new double[variables.size()]);
@@ -86,12 +107,6 @@
         builder.inequality(row.bound, row.dense());
       }
     }
-    Optimisation.Result result = builder.build().solve();
-    if (!result.getState().isFeasible()) {
-      return null;
-    }
-    double[] values = new double[variables.size()];
-    Arrays.setAll(values, i -> Math.max(0, result.doubleValue(i) / scale));
-    return values;
+    return builder.build().solve();
   }
 }
--- a/proxy/src/main/java/lemondeal/failover/Refusal.java
+++ b/proxy/src/main/java/lemondeal/failover/Refusal.java
@@ -45,7 +45,7 @@
     FailureCase failure = broken.get(0);
     boolean[] failed = failure.mask(model.size());
     Terms terms = Terms.of(model);
-    Cut cut = Cut.shortest(model, terms, failed);
+    Cut cut = Bottleneck.shortest(model, terms, failed);
     List<Integer> origins = Cut.counted(cut.origin());
     double demand = origins.stream().mapToDouble(model::demand).sum();
     List<Integer> zones = cut.crosses() ? helpers(origins, failed) : Cut.counted(cut.zone());
