Take connections lost together for an overload where servers report no load

Each loss passed it over for 1 s as "strike 1", but set-ups that were out just then came up 0.1 s later, and Health.succeeded ended the pass-over and cleared the strikes: all clients of its groups came back at once. Ruled out: a crash (set-ups succeed throughout), shortage (it later stands 49 connections).

Now such a server is hot for 2 s, which no set-up ends, and half of the clients left to it pass it over, a share that fades as after late messages. A new process starts without that share.

Each of the three tests fails without its line.

--- a/proxy/src/main/java/lemondeal/module/Health.java
+++ b/proxy/src/main/java/lemondeal/module/Health.java
@@ -3,7 +3,7 @@
 import lemondeal.Balancer.Outcome;
 
 /** Which servers fail, and for how long they are passed over. */
-record Health(Node node, Moves moves, Load load) {
+record Health(Node node, Moves moves, Load load, Shedding shedding) {
   private static final long EJECT_FIRST = 1_000_000; // first pass-over; doubles with each further failure
   private static final long REFUSED_FIRST = 250_000; // the same after a refusal: it lives and is full now
   private static final int EJECT_DOUBLINGS = 4; // to 16 s, near the longest that lists take to notice death
@@ -79,7 +79,9 @@
     }
   }
 
-  /** Several connections reset within a moment mean that the server died, long before the list says so. */
+  /** Several connections reset within a moment mean that the server died, long before the list says so, or
+   * cuts off what is too much for it. Where none reports its load, that is hot: a set-up that succeeds ends
+   * the pass-over and proves nothing, and clients once came back when one stood, to be cut off with it. */
   void connectionLost(Server s) {
     if (node.now - s.lossesSince > LOSS_WINDOW) {
       s.lossesSince = node.now;
@@ -87,6 +89,9 @@
     }
     if (++s.losses == LOSSES_FOR_DEATH) {
       strike(s, EJECT_FIRST, "connections lost together");
+      if (!node.settings.probesReport()) {
+        shedding.cutOff(s);
+      }
     }
   }
 }
--- a/proxy/src/main/java/lemondeal/module/Logic.java
+++ b/proxy/src/main/java/lemondeal/module/Logic.java
@@ -11,9 +11,9 @@
   private final Node node = new Node();
   private final Moves moves = new Moves(node);
   private final Load load = new Load(node);
-  private final Health health = new Health(node, moves, load);
   private final Groups groups = new Groups(node, moves);
   private final Shedding shedding = new Shedding(node, moves, groups);
+  private final Health health = new Health(node, moves, load, shedding);
   private final ColdAdmission cold = new ColdAdmission(node, load);
   private final Setups setups = new Setups(node);
   private final Ranking ranking = new Ranking(node, load, health, shedding, cold);
--- a/proxy/src/main/java/lemondeal/module/Server.java
+++ b/proxy/src/main/java/lemondeal/module/Server.java
@@ -62,5 +62,6 @@
     errorShare = 0;
     probeOut = false;
     coldWindow = -1;
+    shed = 0;
   }
 }
--- a/proxy/src/main/java/lemondeal/module/Shedding.java
+++ b/proxy/src/main/java/lemondeal/module/Shedding.java
@@ -50,6 +50,13 @@
     }
   }
 
+  /** It cuts clients off: half of those left to it go elsewhere, the others come once it has rested. */
+  void cutOff(Server s) {
+    s.hotUntil = node.now + HOT_FOR;
+    s.shed = Math.min(SHED_MOST, shed(s) + SHED_LOST * (1 - shed(s)));
+    s.shedAt = node.now;
+  }
+
   private void shedMore(Server s, double times, double millis) {
     double step = times < 1 ? SHED_NEAR : times < 2 ? SHED_PAST : times < FAR_LATE ? SHED_FAR : SHED_LOST;
     double before = shed(s);
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/LostConnectionsTest.java
@@ -0,0 +1,61 @@
+package lemondeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.Established;
+import lemondeal.Balancer.Outcome;
+import org.junit.jupiter.api.Test;
+
+/** A server that takes set-ups and cuts their connections off afterwards. */
+class LostConnectionsTest {
+
+  /** Three clients of one group stand at a server and are cut off together while a fourth's set-up is out. */
+  private static String cutOff(Node node) {
+    String server = node.open("r0", "c0", "g");
+    for (int i = 1; i < 3; i++) {
+      node.open("r" + i, "c" + i, "g");
+    }
+    assertEquals(server, node.arrive("late", "c3", "g"));
+    for (int i = 0; i < 3; i++) {
+      node.take(new Ended("r" + i, 0, server, Outcome.RESET, 1, true, null));
+    }
+    return server;
+  }
+
+  /** One that stood a moment after the losses once brought all clients back, to be cut off with it. */
+  @Test
+  void aSetUpThatSucceedsDoesNotBringTheCrowdBack() {
+    Node node = new Node().fleet(5);
+    String server = cutOff(node);
+    node.take(new Established("late", 0, server, 5_000));
+    for (int i = 0; i < 10; i++) {
+      assertNotEquals(server, node.arrive("again" + i, "c" + i, "g"));
+    }
+  }
+
+  @Test
+  void onlyAShareOfItsClientsComesBackAtFirst() {
+    Node node = new Node().fleet(5);
+    String server = cutOff(node);
+    node.pass(3 * Node.SECOND);
+    int back = 0;
+    for (int i = 0; i < 40; i++) {
+      back += server.equals(node.open("again" + i, "client" + i, "g")) ? 1 : 0;
+    }
+    assertTrue(back > 8 && back < 32, back + " of 40");
+  }
+
+  @Test
+  void aNewProcessStartsWithoutIt() {
+    Node node = new Node().fleet(5);
+    String server = cutOff(node);
+    node.change(Node.started(server, node.now - 20 * Node.SECOND));
+    node.pass(3 * Node.SECOND);
+    for (int i = 0; i < 20; i++) {
+      assertEquals(server, node.open("again" + i, "c" + i, "g"));
+    }
+  }
+}
