Let the module hear how far zones are open, as the fleet decided together

Need: what a fleet decides of a zone has to reach the one place that places clients, without touching the order there.

Change: the event ZoneOpen tells the share of keys that a zone takes, how many attempts until told again, and how many standing connections are to leave now. Doors cuts by key, so a zone that opens gets back the keys that it had and nobody else moves; those of the class worth most leave first; with every door closed a client is refused at once.

--- a/proxy/src/main/java/lemondeal/Balancer.java
+++ b/proxy/src/main/java/lemondeal/Balancer.java
@@ -132,6 +132,15 @@
   /** The client left, or the answer is overdue; none is owed any more. */
   record ClientGone(String id) implements Event {}
 
+  /**
+   * How far the fleet together opened a zone: {@code share} of the keys, 0 to 1, and at most {@code sends} attempts until
+   * told again; a zone that was never told of is open. {@code leave} standing connections there are to be moved now.
+   */
+  record ZoneOpen(int zone, double share, int sends, int leave) implements Event {
+    /** So many sends bound nothing. */
+    public static final int ANY = Integer.MAX_VALUE;
+  }
+
   // ---- Actions -------------------------------------------------------------------------------
 
   sealed interface Action {}
--- a/proxy/src/main/java/lemondeal/Fleets.java
+++ b/proxy/src/main/java/lemondeal/Fleets.java
@@ -45,7 +45,7 @@
 
   @Override
   public List<Action> on(long now, Event event) {
-    if (event instanceof Start || event instanceof PeerMessage) {
+    if (event instanceof Start || event instanceof PeerMessage || event instanceof ZoneOpen) {
       List<Action> all = new ArrayList<>();
       for (int fleet = 0; fleet < modules.size(); fleet++) {
         all.addAll(in(fleet, now, event instanceof Start s ? new Start(s.seed() + fleet, s.settings()) : event));
--- a/proxy/src/main/java/lemondeal/module/Logic.java
+++ b/proxy/src/main/java/lemondeal/module/Logic.java
@@ -15,9 +15,10 @@
   private final Shedding shedding = new Shedding(node, moves, groups);
   private final Health health = new Health(node, moves, load, shedding);
   private final ColdAdmission cold = new ColdAdmission(node, load);
+  private final Doors doors = new Doors(node, moves);
   private final Setups setups = new Setups(node);
-  private final Ranking ranking = new Ranking(node, load, health, shedding, cold);
-  private final Requests requests = new Requests(node, load, health, groups, cold, setups, ranking);
+  private final Ranking ranking = new Ranking(node, load, health, shedding, cold, doors);
+  private final Requests requests = new Requests(node, load, health, groups, cold, setups, ranking, doors);
   private final Membership membership = new Membership(node);
 
   @Override
@@ -48,6 +49,8 @@
       requests.probed(e);
     } else if (event instanceof Adopted e) {
       requests.adopted(e);
+    } else if (event instanceof ZoneOpen e) {
+      doors.told(e);
     } else if (event instanceof Start e) {
       node.start(e);
       groups.start();
--- a/proxy/src/main/java/lemondeal/module/Ranking.java
+++ b/proxy/src/main/java/lemondeal/module/Ranking.java
@@ -3,7 +3,8 @@
 import lemondeal.Balancer.ServerState;
 
 /** The order in which a request tries the servers. */
-record Ranking(Node node, Load load, Health health, Shedding shedding, ColdAdmission cold) {
+record Ranking(Node node, Load load, Health health, Shedding shedding, ColdAdmission cold,
+    Doors doors) {
   private static final double NEAR_GAIN = 50; // weight that a point of price for crossing adds at home
 
   /** The first server of the flow's ranking that may be used, or null. Passed-over ones come last, so that a
@@ -41,7 +42,8 @@
   private boolean usable(Server s, Flow flow) {
     boolean holds = s.state == ServerState.DRAINING && flow.request.midFlow() && flow.tried.isEmpty()
         && node.now - s.drainingSince < node.settings.rules().drainGrace();
-    return (s.state == ServerState.READY || holds) && !flow.tried.contains(s) && flow.repeatsDropped(s);
+    return (s.state == ServerState.READY || holds) && !flow.tried.contains(s) && flow.repeatsDropped(s)
+        && doors.admits(s, flow);
   }
 
   /** A server known to be at its limit takes none, and one lately over it goes without a share. */
@@ -56,7 +58,8 @@
     return near ? 1 + NEAR_GAIN * node.settings.prices().crossZone() : 1;
   }
 
-  /** Time until a server may take the flow, as far as it is known: 0 where one may do so any moment. */
+  /** Time until a server may take the flow, as far as it is known: 0 where one may do so any moment, and
+   * without end where all that there is stands in zones that are not open to it. */
   long placeIn(Flow flow) {
     long soonest = Long.MAX_VALUE;
     for (Server s : node.fleet) {
@@ -64,7 +67,7 @@
         soonest = Math.min(soonest, Math.max(0, load.overLimitUntil(s) - node.now));
       }
     }
-    return soonest == Long.MAX_VALUE ? 0 : soonest;
+    return soonest == Long.MAX_VALUE && !doors.closed() ? 0 : soonest;
   }
 
   /** Whether the overload is over for a group turned away: no server is hot, and one has room by its own
