Leave a failing zone together and return to it, in real proxies that share rows

Need: the main path end to end: proxies share what they see of zones, one vanishes, all leave it, all return.

Change: Zoned stands between a proxy and its module where the operator's file has fleet.evacuation. What the module hears becomes evidence, the newest rows of the others go in every 50 ms, and before each event the module is told how far zones are open, so that no share outlives a stall. Servers of a zone that is left are asked once a second where the settings allow probes. ZonesTogether joins this to the fleet's rows, the log (zone-left, zone-returned, zone-standing), the figures and the disk (StateFile). A zone that was never left needs no proof once a majority says so: else a fleet that starts would refuse clients for a warm-up.

Seen on the way: no zone ever opened in the test, since Relay ended each connection by a reset, which counts as a lost one; an end now passes as an end.

Measured: ZoneLeftTest, three real processes, two zones of three servers, 75 clients a second: all log the decision, no client goes without an answer, nothing new reaches the zone until the return is decided although it is sound again, and the keys are where they were.

--- a/lab/src/main/java/lemondeal/lab/Listing.java
+++ b/lab/src/main/java/lemondeal/lab/Listing.java
@@ -41,9 +41,14 @@
   }
 
   /** Lists the server with this lifecycle: {@code in_service}, {@code terminating} or {@code terminated}. */
-  public synchronized void list(String id, InetSocketAddress address, String lifecycle) {
+  public void list(String id, InetSocketAddress address, String lifecycle) {
+    list(id, address, "a", lifecycle);
+  }
+
+  /** The same for a server of this zone. */
+  public synchronized void list(String id, InetSocketAddress address, String zone, String lifecycle) {
     instances.put(id, "{\"instanceId\":\"" + id + "\",\"hostPort\":\"127.0.0.1:" + address.getPort()
-        + "\",\"zone\":\"a\",\"machineType\":\"m\",\"cell\":0,\"lifecycle\":\"" + lifecycle
+        + "\",\"zone\":\"" + zone + "\",\"machineType\":\"m\",\"cell\":0,\"lifecycle\":\"" + lifecycle
         + "\",\"weight\":1.0,\"startedAtMs\":0}");
     generation++;
     notifyAll();
--- a/lab/src/main/java/lemondeal/lab/site/FleetSite.java
+++ b/lab/src/main/java/lemondeal/lab/site/FleetSite.java
@@ -74,7 +74,7 @@
          "known":{"generation":0,"reset":true,"instances":[]},
          "settings":{"slotNo":%d,"balancers":%d,"azs":["a","b"],"flavors":["m"],"membershipMode":"subscribe",
            "familyInfo":{"mode":"proxy","groups":false,"messageAim":[1000000]},
-           "permissions":{"dialTimeout":500000,"keepalive":5000000,"cancelling":true,"retryAfter":true,"mayTell":%b,
+           "permissions":{"dialTimeout":500000,"keepalive":5000000,"cancelling":true,"retryAfter":true,"mayTell":%b,"mayProbe":true,
              "maxRetryAfter":2000000,"tryLimit":3,"cpuUsPerS":1000000},
            "rules":{"answerSlack":20000,"drainGrace":1000000,"fallMultiple":4.0,"overloadFor":2000000,
              "coldFrom":0.35,"warmWithin":9000000},
--- a/lab/src/main/java/lemondeal/lab/site/Relay.java
+++ b/lab/src/main/java/lemondeal/lab/site/Relay.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Stands on loopback before one address and passes on what is sent there, as its {@link Passage} says. What comes back
@@ -107,8 +108,9 @@
       return;
     }
     BlockingQueue<Piece> pieces = new ArrayBlockingQueue<>(PIECES);
-    daemon(() -> write(pieces, from, to));
-    daemon(() -> back(to, from));
+    AtomicInteger ways = new AtomicInteger(2);
+    daemon(() -> write(pieces, from, to, ways));
+    daemon(() -> back(to, from, ways));
     read(from, pieces, to);
   }
 
@@ -139,7 +141,7 @@
     }
   }
 
-  private void write(BlockingQueue<Piece> pieces, Socket from, Socket to) {
+  private void write(BlockingQueue<Piece> pieces, Socket from, Socket to, AtomicInteger ways) {
     try {
       while (true) {
         Piece piece = pieces.take();
@@ -147,6 +149,7 @@
         Passage now = awaitPassage();
         if (piece.bytes() == END) {
           to.shutdownOutput();
+          ended(ways, from, to);
           return;
         }
         to.getOutputStream().write(piece.bytes());
@@ -159,7 +162,7 @@
     }
   }
 
-  private void back(Socket to, Socket from) {
+  private void back(Socket to, Socket from, AtomicInteger ways) {
     byte[] buffer = new byte[PIECE];
     try {
       InputStream in = to.getInputStream();
@@ -167,7 +170,8 @@
         awaitPassage();
         from.getOutputStream().write(buffer, 0, count);
       }
-      end(from, to);
+      from.shutdownOutput();
+      ended(ways, from, to);
     } catch (IOException | InterruptedException e) {
       end(from, to);
     }
@@ -183,6 +187,16 @@
     }
   }
 
+  /** An end passes as an end: a reset would look like a server that died. Closed once both ways have ended. */
+  private void ended(AtomicInteger ways, Socket from, Socket to) throws IOException {
+    if (ways.decrementAndGet() == 0) {
+      open.remove(from);
+      open.remove(to);
+      from.close();
+      to.close();
+    }
+  }
+
   private void end(Socket one, Socket other) {
     reset(one);
     reset(other);
--- a/proxy/src/main/java/lemondeal/Extras.java
+++ b/proxy/src/main/java/lemondeal/Extras.java
@@ -5,6 +5,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import lemondeal.claims.CasClaims;
 import lemondeal.claims.CasStore;
 import lemondeal.claims.DiskStore;
@@ -40,6 +42,9 @@
   private FleetStore fleet;
   /** Null unless the proxies of the fleet tell each other rows. */
   private FleetMember member;
+  /** Null unless the fleet leaves zones together. */
+  private ZonesTogether zones;
+  private long incarnation;
   /** Null unless servers are listed by Consul, and until the proxy has made it. */
   private ConsulServices consul;
 
@@ -73,7 +78,7 @@
     member = operator.fleet() == null ? null : member(operator.fleet(), config, log);
   }
 
-  private static FleetMember member(Operator.Fleet section, Config config, EventLog log) {
+  private FleetMember member(Operator.Fleet section, Config config, EventLog log) {
     FleetSettings settings = section.settings();
     String name = settings.name() != null ? settings.name() : config.name();
     if (!config.settings().limits().mayTellPeers()) {
@@ -85,7 +90,7 @@
           + " name there, or fleet.name").toString());
     }
     // Greater than before a restart, as long as this machine's own clock is not set back: docs/FLEET-DESIGN.md.
-    long incarnation = System.currentTimeMillis();
+    incarnation = System.currentTimeMillis();
     return new FleetMember(settings, name, incarnation, new GroupLink(settings, name, incarnation, log), log);
   }
 
@@ -97,7 +102,17 @@
       } catch (IOException e) {
         throw new ConfigException(operator.fleet().fault(e.getMessage()).toString());
       }
-      proxy.count(member::addTo);
+      proxy.count(this::addTo);
+    }
+    if (zones != null) {
+      zones.begin(proxy);
+    }
+  }
+
+  private void addTo(Map<String, Long> figures) {
+    member.addTo(figures);
+    if (zones != null) {
+      zones.addTo(figures);
     }
   }
 
@@ -144,8 +159,18 @@
     return operator.consul().stream().map(Operator.ConsulService::settings).toList();
   }
 
-  /** The module: one for all classes, or one for each service that lists some of them. */
+  /** The module: within what the fleet decided of its zones, where it does so. */
   Balancer module(Config config) {
+    Balancer placing = placing(config);
+    if (operator.fleet() == null || operator.fleet().evacuation() == null) {
+      return placing;
+    }
+    zones = new ZonesTogether(operator.fleet(), config, member, incarnation, System.currentTimeMillis(), placing, log);
+    return zones.module();
+  }
+
+  /** One for all classes, or one for each service that lists some of them. */
+  private Balancer placing(Config config) {
     if (operator.consul().isEmpty() || operator.consul().get(0).classes().isEmpty()) {
       return new Logic();
     }
@@ -210,7 +235,8 @@
 
   private boolean sameFleet(Operator fresh) {
     return fresh.fleet() != null && operator.fleet() != null
-        && fresh.fleet().settings().equals(operator.fleet().settings());
+        && fresh.fleet().settings().equals(operator.fleet().settings())
+        && Objects.equals(fresh.fleet().evacuation(), operator.fleet().evacuation());
   }
 
   @Override
@@ -218,6 +244,9 @@
     if (member != null) {
       member.close();
     }
+    if (zones != null) {
+      zones.close();
+    }
     if (consul != null) {
       consul.close();
     }
--- a/proxy/src/main/java/lemondeal/evacuation/Evacuation.java
+++ b/proxy/src/main/java/lemondeal/evacuation/Evacuation.java
@@ -250,6 +250,8 @@
     if (course.left() || course.opened || now - startedAt < settings.outlasting(settings.shareLife())) {
       return;
     }
+    // A zone that was never left has nothing to prove, once a majority says so.
+    course.opened |= course.epoch == 0 && backed(course, now);
     boolean answers = course.seen.answers();
     for (int place = 0; place < named.size(); place++) {
       if (place != named.self() && hearing.fresh(place, settings.shareLife(), now)) {
--- a/proxy/src/main/java/lemondeal/evacuation/ZoneGate.java
+++ b/proxy/src/main/java/lemondeal/evacuation/ZoneGate.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import lemondeal.Balancer;
 
 /**
  * Counts this proxy's sends into zones against what its standing allows. Shares are often less than one connection a
@@ -28,19 +29,32 @@
 
   /** Whether one more connection may go there now; one that may is counted. */
   public boolean admits(ZoneStanding standing, long now) {
+    boolean admits = left(standing, now) >= 1;
+    if (admits) {
+      sent(standing.zone());
+    }
+    return admits;
+  }
+
+  /** Connections that may go there now; {@link lemondeal.Balancer.ZoneOpen#ANY} where nothing bounds them. */
+  public int left(ZoneStanding standing, long now) {
     if (Double.isInfinite(standing.perSecond())) {
       zones.remove(standing.zone());
-      return true;
+      return Balancer.ZoneOpen.ANY;
     }
     Left left = zones.computeIfAbsent(standing.zone(), zone -> fresh(now));
     double most = Math.max(1, standing.perSecond() * KEPT_SECONDS);
     left.sends = Math.min(most, left.sends + standing.perSecond() * (now - left.at) / 1_000);
     left.at = now;
-    if (standing.perSecond() <= 0 || left.sends < 1) {
-      return false;
+    return standing.perSecond() <= 0 ? 0 : (int) Math.max(0, left.sends);
+  }
+
+  /** One connection went there. */
+  public void sent(int zone) {
+    Left left = zones.get(zone);
+    if (left != null) {
+      left.sends--;
     }
-    left.sends--;
-    return true;
   }
 
   /** A start begins with nothing: what was sent before it is not known. */
--- a/proxy/src/main/java/lemondeal/evacuation/ZoneWatch.java
+++ b/proxy/src/main/java/lemondeal/evacuation/ZoneWatch.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 
 /**
@@ -51,6 +52,11 @@
     ready.remove(server);
   }
 
+  /** All others are drained or gone. */
+  void keep(Set<String> named) {
+    ready.keySet().retainAll(named);
+  }
+
   /** The list was confirmed or renewed now. */
   public void listed(long now) {
     listedAt = now;
--- a/proxy/src/main/java/lemondeal/operator/FleetSection.java
+++ b/proxy/src/main/java/lemondeal/operator/FleetSection.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.Inet4Address;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -15,12 +16,16 @@
 final class FleetSection {
   private static final String AT = "/fleet";
 
+  private static final int MOVES = 20;
+
   private final YamlTree tree;
+  private final Path file;
   private final JsonNode node;
   private final List<Fault> faults;
 
-  FleetSection(YamlTree tree, List<Fault> faults) {
+  FleetSection(YamlTree tree, Path file, List<Fault> faults) {
     this.tree = tree;
+    this.file = file;
     this.faults = faults;
     node = tree.root().get("fleet");
   }
@@ -41,7 +46,15 @@
       fault("/name", "fleet.name: found '" + name + "'; allowed: one of fleet.members");
     }
     return faults.size() > before ? null : new Operator.Fleet(
-        new FleetSettings(name, new FleetRoster(members), listen, life, tell), tree.fault(AT + "/", ""));
+        new FleetSettings(name, new FleetRoster(members), listen, life, tell), evacuation(), tree.fault(AT + "/", ""));
+  }
+
+  private Operator.Evacuation evacuation() {
+    JsonNode section = node.path("evacuation");
+    // Paths are meant from where the file is.
+    Path kept = section.has("kept") ? file.toAbsolutePath().resolveSibling(section.get("kept").asText()) : null;
+    return section.isMissingNode() ? null
+        : new Operator.Evacuation(section.get("connections").asInt(), section.path("moves").asInt(MOVES), kept);
   }
 
   private List<FleetRoster.Named> members() {
--- a/proxy/src/main/java/lemondeal/operator/Operator.java
+++ b/proxy/src/main/java/lemondeal/operator/Operator.java
@@ -41,15 +41,25 @@
   /**
    * The section {@code fleet}.
    *
+   * @param evacuation null where zones are not left together
    * @param place where it stands in the file, for what is wrong with it beside the file's own rules
    */
-  public record Fleet(FleetSettings settings, Fault place) {
+  public record Fleet(FleetSettings settings, Evacuation evacuation, Fault place) {
     /** A fault of the section as a whole. */
     public Fault fault(String what) {
       return new Fault(place.file(), place.line(), place.column(), what);
     }
   }
 
+  /**
+   * The section {@code fleet.evacuation}: zones are left and returned to together.
+   *
+   * @param connections that a zone's servers usually hold together: what a zone bears that returns is reckoned from it
+   * @param moves standing connections that leave a zone in a second, of all proxies together
+   * @param kept the file in which decisions are kept, null where they are not
+   */
+  public record Evacuation(int connections, int moves, Path kept) {}
+
   /** Where claims are made. */
   public enum ClaimsIn { MEMORY, DISK, FLEET }
 
@@ -75,7 +85,7 @@
         root.path("discovery").has("consul") ? new ConsulSection(root.path("discovery").get("consul"), file,
             what -> faults.add(new Fault(file.toString(), 0, 0, what))).services() : List.of(),
         root.has("resume") ? new Section(file, root.get("resume"), faults).resume() : null,
-        root.has("fleet") ? new FleetSection(tree, faults).fleet() : null);
+        root.has("fleet") ? new FleetSection(tree, file, faults).fleet() : null);
     if (!faults.isEmpty()) {
       throw new FileFaults(faults);
     }
--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -175,6 +175,11 @@
     return wheel;
   }
 
+  /** Wakes the module, for what stands between it and this proxy; on the I/O thread alone. */
+  public void wake(long token) {
+    decisions.tell(new Wake(token));
+  }
+
   /** Has these figures told on the second address, too. */
   public void count(Consumer<Map<String, Long>> figuresOfMore) {
     net.later(() -> more = figuresOfMore);
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/saved/StateFile.java
@@ -0,0 +1,89 @@
+package lemondeal.saved;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.Optional;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import lemondeal.log.EventLog;
+
+/**
+ * A few bytes on disk that must outlive a crash. Written beside their place, forced to the disk and renamed over it, on a
+ * thread of its own; a disk that is full or gone is told in the log, and serving goes on. Whether what is read is whole is
+ * for its codec to say.
+ */
+public final class StateFile implements AutoCloseable {
+  private static final long MOST_BYTES = 1 << 20;
+  private static final long CLOSE_SECONDS = 2;
+
+  private final Path file;
+  private final EventLog log;
+  private final ExecutorService writer = Executors.newSingleThreadExecutor(task -> {
+    Thread thread = new Thread(null, task, "state-file", 256 * 1024);
+    thread.setDaemon(true);
+    return thread;
+  });
+
+  public StateFile(Path file, EventLog log) {
+    this.file = file;
+    this.log = log;
+  }
+
+  /** What is kept; empty where nothing is, and told in the log where it can't be read. */
+  public Optional<byte[]> read() {
+    try {
+      if (Files.size(file) > MOST_BYTES) {
+        log.warn("state-file", "lemondeal: " + file + " is longer than " + MOST_BYTES + " bytes and is passed over");
+        return Optional.empty();
+      }
+      return Optional.of(Files.readAllBytes(file));
+    } catch (NoSuchFileException e) {
+      return Optional.empty();
+    } catch (IOException e) {
+      log.warn("state-file", "lemondeal: " + file + " can't be read: " + e);
+      return Optional.empty();
+    }
+  }
+
+  /** Keeps this soon, in place of what was kept before. */
+  public void write(byte[] bytes) {
+    writer.execute(() -> {
+      try {
+        writeNow(bytes);
+      } catch (IOException e) {
+        log.warn("state-file", "lemondeal: " + file + " can't be written: " + e);
+      }
+    });
+  }
+
+  private void writeNow(byte[] bytes) throws IOException {
+    Path fresh = file.resolveSibling(file.getFileName() + ".new");
+    try (FileChannel out = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+        StandardOpenOption.TRUNCATE_EXISTING)) {
+      ByteBuffer left = ByteBuffer.wrap(bytes);
+      while (left.hasRemaining()) {
+        out.write(left);
+      }
+      out.force(true);
+    }
+    Files.move(fresh, file, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+  }
+
+  /** Waits a little for what is still to be written. */
+  @Override
+  public void close() {
+    writer.shutdown();
+    try {
+      writer.awaitTermination(CLOSE_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+}
