Try the fleet's evacuation in a simulation with seeded faults, and check every rule in it

Five members with clocks of their own, twelve servers in three zones, rows that are late, lost, cut in one direction or both and replayed, members that stall, die, and start with or without what they had kept. What asks a starting proxy to be believed is now whether it remembers all that it ever knew; one with a damaged file must first meet every majority that it may have been part of.

--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/evacuation/Fault.java
@@ -0,0 +1,46 @@
+package lemondeal.lab.evacuation;
+
+/**
+ * One thing that goes wrong for a while. Times are true milliseconds.
+ *
+ * @param a what it hits, by kind: a zone, a vantage zone, a member, a server, or members as bits
+ * @param b what else the kind needs
+ */
+public record Fault(Kind kind, long from, long to, int a, int b) {
+
+  /** What can go wrong. */
+  public enum Kind {
+    /** Zone a answers nobody. */
+    ZONE_DIES,
+    /** From vantage zone a nothing reaches zone b. */
+    WAY_CUT,
+    /** Member a reaches no server of zone b. */
+    MEMBER_CUT,
+    /** Three in ten of member a's attempts in zone b go unanswered. */
+    LOSSY,
+    /** Server a answers for half of each second. */
+    FLAPS,
+    /** Server a and all others are late. */
+    ALL_LATE,
+    /** No rows between the members in a and the others. */
+    SPLIT,
+    /** No rows from the members in a to those in b. */
+    ONE_WAY,
+    /** Rows take up to a milliseconds. */
+    ROWS_LATE,
+    /** Three in ten rows are lost. */
+    ROWS_DROP,
+    /** Old rows arrive again. */
+    REPLAY,
+    /** Member a is dead; b is 1 where what it had kept is damaged. */
+    DEAD,
+    /** All are dead. */
+    ALL_DEAD,
+    /** Member a stands still and wakes. */
+    STALLED
+  }
+
+  boolean on(long at) {
+    return at >= from && at < to;
+  }
+}
--- /dev/null
+++ b/lab/src/main/java/lemondeal/lab/evacuation/Member.java
@@ -0,0 +1,149 @@
+package lemondeal.lab.evacuation;
+
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Random;
+import lemondeal.evacuation.Evacuation;
+import lemondeal.evacuation.EvacuationState;
+import lemondeal.evacuation.Named;
+import lemondeal.evacuation.ZoneGate;
+import lemondeal.evacuation.ZoneStanding;
+
+/** One simulated proxy: clients that come in, attempts that end, a clock of its own, and what it keeps on disk. */
+final class Member {
+  private static final long ANSWER = 5;
+  private static final long TIME_OUT = 300;
+  private static final long PASS_OVER = 1_000;
+  private static final long PROBE_EVERY = 400;
+
+  /** An attempt or a probe that ends later. */
+  private record Attempt(long ends, long began, int server, boolean answered, boolean late, int key) {}
+
+  private final Model model;
+  final int place;
+  private final Named named;
+  private final Random random;
+  private final long clockOffset;
+  private final double clockRate;
+  private final PriorityQueue<Attempt> out = new PriorityQueue<>(Comparator.comparingLong(Attempt::ends));
+  private final long[] passUntil;
+  private byte[] kept = EvacuationState.NONE.encode();
+  private Evacuation evacuation;
+  private ZoneGate gate;
+  private long incarnation;
+  private long rowDue;
+  private long probeDue;
+
+  Member(Model model, Named named, Random random) {
+    this.model = model;
+    this.named = named;
+    this.random = random;
+    place = named.self();
+    clockOffset = random.nextInt(1_000_000_000);
+    // Clocks run apart by less than half of what the settings allow, each way.
+    clockRate = 1 + (random.nextDouble() - 0.5) * model.settings().drift();
+    passUntil = new long[model.servers()];
+  }
+
+  long clock(long at) {
+    return clockOffset + (long) (at * clockRate);
+  }
+
+  boolean runs() {
+    return evacuation != null;
+  }
+
+  void die() {
+    evacuation = null;
+    out.clear();
+  }
+
+  /** @param damaged whether what was kept on disk can't be read */
+  void start(long at, boolean damaged) {
+    Optional<EvacuationState> whole = damaged ? Optional.empty() : EvacuationState.decode(kept);
+    incarnation = Math.max(incarnation + 1, at);
+    evacuation = model.make(named, incarnation, whole, clock(at));
+    gate = new ZoneGate(named, clock(at));
+    Arrays.fill(passUntil, Long.MIN_VALUE);
+    for (int server = 0; server < model.servers(); server++) {
+      evacuation.watch().ready("s" + server, model.zone(server));
+    }
+    rowDue = clock(at) + random.nextInt(200);
+    probeDue = clock(at) + random.nextInt((int) PROBE_EVERY);
+  }
+
+  void hear(String from, byte[] row) {
+    if (runs()) {
+      evacuation.hear(from, row);
+    }
+  }
+
+  ZoneStanding standing(int zone, long at) {
+    return evacuation.standing(zone, clock(at));
+  }
+
+  /** One turn: what ended is told, then the module judges, a client comes in, a row goes out. */
+  void turn(long at) {
+    long now = clock(at);
+    while (!out.isEmpty() && out.peek().ends() <= at) {
+      over(out.poll(), at, now);
+    }
+    evacuation.watch().listed(now);
+    List<Evacuation.Decided> decided = evacuation.tick(now);
+    decided.forEach(one -> model.decided(at, place, one));
+    if (!decided.isEmpty()) {
+      kept = evacuation.state().encode();
+    }
+    place(random.nextInt(Model.KEYS), at, now);
+    if (now >= probeDue) {
+      probeDue = now + PROBE_EVERY;
+      for (int zone = 0; zone < model.zones(); zone++) {
+        attempt(zone * model.servers() / model.zones() + random.nextInt(model.servers() / model.zones()), -1, at);
+      }
+    }
+    if (now >= rowDue || evacuation.tellNow()) {
+      rowDue = now + model.settings().tell();
+      for (int zone = 0; zone < model.zones(); zone++) {
+        ZoneStanding standing = evacuation.standing(zone, now);
+        model.wrote(at, place, zone, standing.epoch(), evacuation.votes(zone));
+      }
+      model.send(at, place, evacuation.row(now));
+    }
+  }
+
+  private void over(Attempt attempt, long at, long now) {
+    String server = "s" + attempt.server();
+    if (attempt.answered()) {
+      if (attempt.late()) {
+        evacuation.watch().late(server, now);
+      } else {
+        evacuation.watch().word(server, now);
+      }
+      return;
+    }
+    evacuation.watch().silent(server, now - clock(attempt.began()), now);
+    passUntil[attempt.server()] = now + PASS_OVER;
+    if (attempt.key() >= 0) {
+      place(attempt.key(), at, now);
+    }
+  }
+
+  /** The key's highest server that is not passed over and whose zone may be sent to takes the client. */
+  private void place(int key, long at, long now) {
+    for (int server : model.ranking(key)) {
+      if (passUntil[server] <= now && gate.admits(evacuation.standing(model.zone(server), now), now)) {
+        model.sent(at, place, model.zone(server), key, server);
+        attempt(server, key, at);
+        return;
+      }
+    }
+  }
+
+  private void attempt(int server, int key, long at) {
+    boolean answers = model.answers(place, server, at, random);
+    out.add(new Attempt(at + (answers ? ANSWER : TIME_OUT), at, server, answers, model.late(at), key));
+  }
+}
--- a/proxy/src/main/java/lemondeal/evacuation/Evacuation.java
+++ b/proxy/src/main/java/lemondeal/evacuation/Evacuation.java
@@ -37,8 +37,10 @@
   private final long startedAt;
   private long beat;
   private long tickedAt;
-  /** Whether enough others have answered since the start for this proxy to speak for what was decided before. */
-  private boolean sure;
+  /** Whether enough others have answered since the start. */
+  private boolean asked;
+  /** Whether it knows all that it ever knew: what was kept was whole, or the others have told it. */
+  private boolean remembers;
   private boolean tellNow;
   private byte[] plan;
 
@@ -56,7 +58,8 @@
   /**
    * @param usual how zones open of which nothing else is told
    * @param incarnation of this start, above those of all earlier ones
-   * @param kept what was kept on disk; empty where nothing whole was
+   * @param kept what was kept on disk, {@link EvacuationState#NONE} on the first start ever; empty where it is damaged or
+   *     lost: the proxy may then have been one of a majority that it does not remember
    */
   public Evacuation(Named named, EvacuationSettings settings, Opening usual, long incarnation,
       Optional<EvacuationState> kept, long now) {
@@ -70,7 +73,8 @@
     this.agreement = agreement;
     this.usual = usual;
     saved = kept.orElse(EvacuationState.NONE);
-    toAsk = toAsk(named.size(), kept.isPresent());
+    remembers = kept.isPresent();
+    toAsk = toAsk(named.size(), remembers);
     this.incarnation = incarnation;
     plan = saved.plan();
     startedAt = now;
@@ -122,7 +126,8 @@
       courses.values().forEach(course -> course.stoodStill(now));
     }
     look(now);
-    sure |= hearing.answered(settings.voteLife(), now) >= toAsk;
+    asked |= hearing.answered(settings.voteLife(), now) >= toAsk;
+    remembers |= asked;
     List<Decided> decided = new ArrayList<>();
     for (Course course : courses.values()) {
       follow(course, now, decided);
@@ -203,7 +208,7 @@
   }
 
   private void vote(Course course, Verdict verdict, long now) {
-    boolean yes = sure && (course.left() ? sound(course, now) : fails(course, verdict, now));
+    boolean yes = asked && (course.left() ? sound(course, now) : fails(course, verdict, now));
     tellNow |= yes != course.votes;
     course.vote(yes, now);
   }
@@ -274,11 +279,11 @@
 
   /** Whether a majority knows the zone's epoch as this proxy does, wants no other, and said so lately for certain. */
   private boolean backed(Course course, long now) {
-    int backers = sure && !course.votes ? 1 : 0;
+    int backers = remembers && !course.votes ? 1 : 0;
     for (int place = 0; place < named.size(); place++) {
       if (place != named.self() && hearing.fresh(place, settings.shareLife(), now)) {
         Row.Word word = hearing.row(place).word(course.zone);
-        backers += hearing.row(place).sure() && word.epoch() == course.epoch && !word.votes() ? 1 : 0;
+        backers += hearing.row(place).remembers() && word.epoch() == course.epoch && !word.votes() ? 1 : 0;
       }
     }
     return agreement.shareStands(backers, named.size());
@@ -289,7 +294,7 @@
   /** How this proxy stands to a zone at this moment: asked anew before each send, as a share may have run out since. */
   public ZoneStanding standing(int zone, long now) {
     Course course = course(zone);
-    if (!sure && now - startedAt < settings.askFor()) {
+    if (!asked && now - startedAt < settings.askFor()) {
       return ZoneStanding.none(zone, ZoneStanding.State.ASKING, course.epoch);
     }
     if (course.left() && !allLeft()) {
@@ -331,7 +336,7 @@
     Map<Integer, Row.Word> words = new TreeMap<>();
     courses.forEach((zone, course) -> words.put(zone, new Row.Word(course.epoch, course.votes, course.seen,
         course.opened && !course.left(), course.relapses, 0, List.of())));
-    return hearing.write(incarnation, ++beat, sure, words, now);
+    return hearing.write(incarnation, ++beat, remembers, words, now);
   }
 
   /** The plan that is in force from now on, by its digest. */
@@ -339,6 +344,11 @@
     plan = digest.clone();
   }
 
+  /** Whether this proxy votes for the zone's next epoch. */
+  public boolean votes(int zone) {
+    return course(zone).votes;
+  }
+
   /** What is to be kept on disk whenever a decision became known. */
   public EvacuationState state() {
     Map<Integer, EvacuationState.Zone> zones = new TreeMap<>();
--- a/proxy/src/main/java/lemondeal/evacuation/EvacuationSettings.java
+++ b/proxy/src/main/java/lemondeal/evacuation/EvacuationSettings.java
@@ -35,8 +35,8 @@
     return returnDwell << Math.min(relapses, MOST_RELAPSES);
   }
 
-  /** A life as the side waits for it that must not be early. */
-  long outlasting(long life) {
+  /** A life as the side waits for it that must not be early, in milliseconds: clocks run apart. */
+  public long outlasting(long life) {
     return (long) Math.ceil(life * (1 + 2 * drift));
   }
 }
--- a/proxy/src/main/java/lemondeal/evacuation/Hearing.java
+++ b/proxy/src/main/java/lemondeal/evacuation/Hearing.java
@@ -59,7 +59,7 @@
   }
 
   /** The own next row, written now. */
-  byte[] write(long incarnation, long beat, boolean sure, java.util.Map<Integer, Row.Word> zones, long now) {
+  byte[] write(long incarnation, long beat, boolean remembers, java.util.Map<Integer, Row.Word> zones, long now) {
     int[] echo = new int[rows.length];
     for (int i = 0; i < rows.length; i++) {
       echo[i] = rows[i] == null ? 0 : Row.stamp(rows[i].incarnation(), rows[i].beat());
@@ -67,7 +67,7 @@
     ownStamps[own] = Row.stamp(incarnation, beat);
     ownTimes[own] = now;
     own = (own + 1) % OWN_ROWS;
-    return RowCodec.write(new Row(incarnation, beat, sure, zones, echo), fleet);
+    return RowCodec.write(new Row(incarnation, beat, remembers, zones, echo), fleet);
   }
 
   /** The newest row of the proxy at this place; null where none came. */
@@ -80,11 +80,11 @@
     return rows[place] != null && now - writtenAfter[place] <= life;
   }
 
-  /** Others that have answered within that time. */
+  /** Others that have answered within that time and forgot nothing. */
   int answered(long life, long now) {
     int fresh = 0;
     for (int i = 0; i < rows.length; i++) {
-      fresh += i != named.self() && fresh(i, life, now) ? 1 : 0;
+      fresh += i != named.self() && fresh(i, life, now) && rows[i].remembers() ? 1 : 0;
     }
     return fresh;
   }
--- a/proxy/src/main/java/lemondeal/evacuation/Row.java
+++ b/proxy/src/main/java/lemondeal/evacuation/Row.java
@@ -8,10 +8,10 @@
  *
  * @param incarnation new with each start of the writer, above all earlier ones
  * @param beat grows with each row of an incarnation
- * @param sure whether it has asked enough others since its start to speak for the fleet's past
+ * @param remembers whether it knows all that it ever knew: others may then go by its word on what was decided
  * @param echo by the order of names, the stamp of the newest row that the writer holds of each; 0 for none
  */
-record Row(long incarnation, long beat, boolean sure, Map<Integer, Word> zones, int[] echo) {
+record Row(long incarnation, long beat, boolean remembers, Map<Integer, Word> zones, int[] echo) {
 
   /**
    * What it tells of one zone.
--- a/proxy/src/main/java/lemondeal/evacuation/RowCodec.java
+++ b/proxy/src/main/java/lemondeal/evacuation/RowCodec.java
@@ -26,7 +26,7 @@
 
   static byte[] write(Row row, int fleet) {
     EvacuationRow.Builder wire = EvacuationRow.newBuilder().setVersion(VERSION).setFleet(fleet)
-        .setIncarnation(row.incarnation()).setBeat(row.beat()).setSure(row.sure());
+        .setIncarnation(row.incarnation()).setBeat(row.beat()).setRemembers(row.remembers());
     row.zones().forEach((zone, word) -> wire.addZones(write(zone, word)));
     for (int stamp : row.echo()) {
       wire.addEcho(stamp);
@@ -65,7 +65,7 @@
       }
     }
     int[] echo = wire.getEchoList().stream().mapToInt(Integer::intValue).toArray();
-    return Optional.of(new Row(wire.getIncarnation(), wire.getBeat(), wire.getSure(), zones, echo));
+    return Optional.of(new Row(wire.getIncarnation(), wire.getBeat(), wire.getRemembers(), zones, echo));
   }
 
   private static boolean sound(ZoneWord word, int members) {
