--- a/proxy/src/main/java/lemondeal/failover/Bottleneck.java
+++ b/proxy/src/main/java/lemondeal/failover/Bottleneck.java
@@ -5,10 +5,11 @@
 import lemondeal.failover.PolicyModel.Helper;
 
 /**
- * Finds the strongest {@link Cut} of a case: the largest flow is solved for, and what each of its bounds would be worth is
- * the certificate. Only the worth of zones and crossings is believed; with it each origin counts as far as every zone that
- * may serve it does, so that the certificate holds even where the solver was not exact. The other way round, as a least
- * cover of all pairs, the same took seconds a case, since the solver makes an artificial variable of each pair.
+ * Finds the strongest {@link Cut} of a case: the largest flow is solved for, and what each of its bounds would be worth
+ * is the certificate. Only the worth of zones and crossings is believed; with it each origin counts as far as every
+ * zone that may serve it does, so that the certificate holds even where the solver was not exact. The other way round,
+ * as a least cover of all pairs, the same took seconds a case, since the solver makes an artificial variable of each
+ * pair.
  */
 final class Bottleneck {
   /** On top of each bound, also of 0, so that it is worth something only where it says something. */
--- a/proxy/src/main/java/lemondeal/failover/CaseMaker.java
+++ b/proxy/src/main/java/lemondeal/failover/CaseMaker.java
@@ -12,9 +12,9 @@
 import lemondeal.operator.FileFaults;
 
 /**
- * Spreads the promises out into cases, each once, the smallest first. A part of a promised failure is no harder than the
- * whole, but zones seldom fail in one instant, so that a plan must say what holds meanwhile: with "any k" come all of
- * fewer zones, with a region or named zones each of them alone.
+ * Spreads the promises out into cases, each once, the smallest first. A part of a promised failure is no harder than
+ * the whole, but zones seldom fail in one instant, so that a plan must say what holds meanwhile: with "any k" come all
+ * of fewer zones, with a region or named zones each of them alone.
  */
 final class CaseMaker {
   /** More would be a plan that no proxy should have to hold: any 3 of 40 zones are 10,701. */
--- a/proxy/src/main/java/lemondeal/failover/CaseSolver.java
+++ b/proxy/src/main/java/lemondeal/failover/CaseSolver.java
@@ -6,8 +6,9 @@
 
 /**
  * Finds for one case the flows that move least from given ones. First what is lost alone is placed anew, all else left
- * where it is: nothing can move less. Where that does not fit, all may move, the least of it that helps. Among flows that
- * move alike those of earlier steps are taken, and within a step those that fill the zones most evenly by their weights.
+ * where it is: nothing can move less. Where that does not fit, all may move, the least of it that helps. Among flows
+ * that move alike those of earlier steps are taken, and within a step those that fill the zones most evenly by their
+ * weights.
  */
 final class CaseSolver {
   /** An earlier step goes before any evenness: an exchange of loads touches each zone twice at most, 64 zones. */
--- a/proxy/src/main/java/lemondeal/failover/Cut.java
+++ b/proxy/src/main/java/lemondeal/failover/Cut.java
@@ -4,9 +4,9 @@
 import java.util.List;
 
 /**
- * Why a case does not fit, as a certificate that anybody can add up: the demand of some origins is more than the zones that
- * may serve them, and the crossings, let through. It is the dual of the flow's linear program, and holds for other bounds
- * too, so that it also says by how much these must change.
+ * Why a case does not fit, as a certificate that anybody can add up: the demand of some origins is more than the zones
+ * that may serve them, and the crossings, let through. It is the dual of the flow's linear program, and holds for other
+ * bounds too, so that it also says by how much these must change.
  *
  * @param origin the share, 0 to 1, with which each origin's demand counts
  * @param zone the same of each zone's usable capacity
--- a/proxy/src/main/java/lemondeal/failover/LeastChange.java
+++ b/proxy/src/main/java/lemondeal/failover/LeastChange.java
@@ -7,9 +7,10 @@
 import java.util.function.Supplier;
 
 /**
- * The least change with which all cases hold, of one kind or of all. Certificates of the broken cases are gathered until
- * the least change that satisfies them all leaves no case broken (cutting planes): it is then the least, since no smaller
- * one satisfies even these. Only cases that are broken as things stand are looked at, as a change never breaks another.
+ * The least change with which all cases hold, of one kind or of all. Certificates of the broken cases are gathered
+ * until the least change that satisfies them all leaves no case broken (cutting planes): it is then the least, since no
+ * smaller one satisfies even these. Only cases that are broken as things stand are looked at, as a change never breaks
+ * another.
  */
 final class LeastChange {
   private static final int MOST_ROUNDS = 200;
@@ -100,8 +101,9 @@
   }
 
   /**
-   * The cheapest growth that satisfies all certificates, or null where none does. Solved the other way round, as what the
-   * certificates can ask for at these prices: that has a start that fits, and the growth is what its bounds are worth.
+   * The cheapest growth that satisfies all certificates, or null where none does. Solved the other way round, as what
+   * the certificates can ask for at these prices: that has a start that fits, and the growth is what its bounds are
+   * worth.
    */
   private Change grown(boolean capacities, boolean crossings) {
     int size = model.size();
--- a/proxy/src/main/java/lemondeal/failover/PlanCheck.java
+++ b/proxy/src/main/java/lemondeal/failover/PlanCheck.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * Reckons a finished plan through, in whole numbers and without the solver: every origin is served in every case, by zones
- * that are up and that may serve it, and no bound is passed by more than the rounding of weights.
+ * Reckons a finished plan through, in whole numbers and without the solver: every origin is served in every case, by
+ * zones that are up and that may serve it, and no bound is passed by more than the rounding of weights.
  */
 final class PlanCheck {
   private PlanCheck() {}
@@ -56,7 +56,8 @@
 
   private static void require(boolean holds, Plan.Case planned, String what) {
     if (!holds) {
-      throw new IllegalStateException("the compiler's own check: " + what + " in the case of zones " + planned.failed());
+      throw new IllegalStateException("the compiler's own check: " + what + " in the case of zones "
+          + planned.failed());
     }
   }
 }
--- a/proxy/src/main/java/lemondeal/failover/PlanGuard.java
+++ b/proxy/src/main/java/lemondeal/failover/PlanGuard.java
@@ -5,9 +5,9 @@
 import java.util.Set;
 
 /**
- * Which plan a proxy places by. A value without a clock: each word that comes in gives the next one. A plan waits until a
- * majority of the members that the operator named holds the same digest, so that no two parts of a fleet ever place by
- * plans that have not met; until then the old one holds, also where members hold different new ones.
+ * Which plan a proxy places by. A value without a clock: each word that comes in gives the next one. A plan waits until
+ * a majority of the members that the operator named holds the same digest, so that no two parts of a fleet ever place
+ * by plans that have not met; until then the old one holds, also where members hold different new ones.
  *
  * @param members the names of all proxies of the fleet, not of those in sight
  * @param inForce the plan placed by; empty at a first start
@@ -24,8 +24,9 @@
   }
 
   /**
-   * A plan's bytes have come; throws {@link PlanRefused} where they are cut, garbled, of another fleet, or older than the
-   * plan in force or the one that waits. Another plan of the same version is refused as well: one of the two is a mistake.
+   * A plan's bytes have come; throws {@link PlanRefused} where they are cut, garbled, of another fleet, or older than
+   * the plan in force or the one that waits. Another plan of the same version is refused as well: one of the two is a
+   * mistake.
    */
   public PlanGuard offered(byte[] bytes) {
     Plan plan = PlanCodec.decode(bytes);
--- a/proxy/src/main/java/lemondeal/failover/PlanMaker.java
+++ b/proxy/src/main/java/lemondeal/failover/PlanMaker.java
@@ -9,10 +9,10 @@
 import lemondeal.failover.PolicyModel.Helper;
 
 /**
- * Makes whole ten-thousandths of flows, so that a solver's last digits cannot show, and reckons anew with them whether all
- * bounds hold. Shares are rounded down; what is left of an origin goes one by one to where most was cut off and there
- * still is room. Where there is none anywhere (a third of a load of 1, three zones of a third) a unit stands over:
- * never more than a ten-thousandth of the demand of each origin that the zone shares with others.
+ * Makes whole ten-thousandths of flows, so that a solver's last digits cannot show, and reckons anew with them whether
+ * all bounds hold. Shares are rounded down; what is left of an origin goes one by one to where most was cut off and
+ * there still is room. Where there is none anywhere (a third of a load of 1, three zones of a third) a unit stands
+ * over: never more than a ten-thousandth of the demand of each origin that the zone shares with others.
  */
 final class PlanMaker {
   /** Parts of a unit that are a solver's noise and no part. */
--- a/proxy/src/main/java/lemondeal/failover/PlanStanding.java
+++ b/proxy/src/main/java/lemondeal/failover/PlanStanding.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * Whether a plan in force still holds for what its zones are measured to bear: asked before a case happens, so that it is
- * told in time. Pure; a zone that nothing is known of bears what the plan was compiled with.
+ * Whether a plan in force still holds for what its zones are measured to bear: asked before a case happens, so that it
+ * is told in time. Pure; a zone that nothing is known of bears what the plan was compiled with.
  */
 public final class PlanStanding {
   /**
@@ -55,8 +55,8 @@
   }
 
   /**
-   * What still holds of a case: each origin's weights, cut down alike where a zone is to bear more than it can. What the
-   * weights lack of {@link Plan#WHOLE} has no place and is to be turned away.
+   * What still holds of a case: each origin's weights, cut down alike where a zone is to bear more than it can. What
+   * the weights lack of {@link Plan#WHOLE} has no place and is to be turned away.
    */
   public static Plan.Case stillHolds(Plan plan, Plan.Case planned, Map<String, Double> capacity) {
     long[] loads = plan.loads(planned);
--- a/proxy/src/main/java/lemondeal/failover/PolicyCompiler.java
+++ b/proxy/src/main/java/lemondeal/failover/PolicyCompiler.java
@@ -6,7 +6,10 @@
 import java.util.List;
 import lemondeal.operator.FileFaults;
 
-/** From a policy's file to its plan, stage by stage: source, checked model, cases, solved flows, plan. Pure but for the file. */
+/**
+ * From a policy's file to its plan, stage by stage: source, checked model, cases, solved flows, plan. Pure but for the
+ * file.
+ */
 public final class PolicyCompiler {
   private PolicyCompiler() {}
 
--- a/proxy/src/main/java/lemondeal/failover/PolicySource.java
+++ b/proxy/src/main/java/lemondeal/failover/PolicySource.java
@@ -3,8 +3,8 @@
 import java.util.List;
 
 /**
- * The first stage: a policy as its file says it, with places, held to the schema and to nothing else. Names are words yet;
- * everything stands in the order of the file.
+ * The first stage: a policy as its file says it, with places, held to the schema and to nothing else. Names are words
+ * yet; everything stands in the order of the file.
  *
  * @param headroom the share of each capacity that is kept free
  * @param zoneShare the largest share of the whole demand that may be served in another zone than its own
--- a/proxy/src/main/java/lemondeal/failover/Program.java
+++ b/proxy/src/main/java/lemondeal/failover/Program.java
@@ -11,8 +11,8 @@
 
 /**
  * One linear program, to be minimised: the only class that knows the library. Variables are at least 0. Loads go in and
- * come out in the policy's unit and are scaled in between, since the solver's tolerances are absolute ones. The library's
- * modelling classes are passed by: their decimal arithmetic took four fifths of the time.
+ * come out in the policy's unit and are scaled in between, since the solver's tolerances are absolute ones. The
+ * library's modelling classes are passed by: their decimal arithmetic took four fifths of the time.
  */
 final class Program {
   /** What the whole demand is to the solver: its tolerance then lies far under {@link PolicyModel#noise}. */
@@ -81,8 +81,8 @@
   }
 
   /**
-   * What one more unit of each row's bound would save, for a program without equations that all zeros satisfy; null where
-   * nothing bounds it.
+   * What one more unit of each row's bound would save, for a program without equations that all zeros satisfy; null
+   * where nothing bounds it.
    */
   double[] worth() {
     double[] worth = new double[rows.size()];
--- a/proxy/src/main/java/lemondeal/failover/Refusal.java
+++ b/proxy/src/main/java/lemondeal/failover/Refusal.java
@@ -8,8 +8,8 @@
 import lemondeal.operator.Fault;
 
 /**
- * Says why a policy cannot hold: the smallest case, its sums, what binds, and the least change of each kind that makes all
- * cases hold. The sums are those of a certificate, so that an operator can add them up.
+ * Says why a policy cannot hold: the smallest case, its sums, what binds, and the least change of each kind that makes
+ * all cases hold. The sums are those of a certificate, so that an operator can add them up.
  */
 final class Refusal {
   private final PolicyModel model;
@@ -73,7 +73,8 @@
           + Words.number(model.zone(zone).capacity()) + ", line " + model.zone(zone).capacityPlace().line() + ")");
     }
     if (cut.crossZones() > 0) {
-      binds.add("cross.zones (" + Words.number(model.zoneShare()) + ", line " + model.places().zoneShare().line() + ")");
+      binds.add("cross.zones (" + Words.number(model.zoneShare()) + ", line " + model.places().zoneShare().line()
+          + ")");
     }
     if (cut.crossRegions() > 0) {
       binds.add("cross.regions (" + Words.number(model.regionShare()) + ", line "
--- a/proxy/src/test/java/lemondeal/failover/BruteForceTest.java
+++ b/proxy/src/test/java/lemondeal/failover/BruteForceTest.java
@@ -64,7 +64,9 @@
     }
   }
 
-  /** Every instance of up to three zones with demands to 2 and capacities 0, 1, 3, once of those that differ by names. */
+  /**
+   * Every instance of up to three zones with demands to 2 and capacities 0, 1, 3, once of those that differ by names.
+   */
   @Example
   void everySmallInstance() {
     int held = 0;
@@ -97,8 +99,8 @@
   }
 
   /**
-   * Every way to fill three regions, each helped by its own and the next one, with zones of demand 0 or 1 and capacity 0
-   * to 2, once of those that differ by order: up to four zones, or -Dfailover.zones=8 (docs/FAILOVER-DESIGN.md).
+   * Every way to fill three regions, each helped by its own and the next one, with zones of demand 0 or 1 and capacity
+   * 0 to 2, once of those that differ by order: up to four zones, or -Dfailover.zones=8 (docs/FAILOVER-DESIGN.md).
    */
   @Example
   void everyRegionalInstance() {
@@ -148,7 +150,8 @@
     int spare = 1 + random.nextInt(6);
     return new Instance(random.ints(size, 0, 4).toArray(),
         random.ints(size, 0, 4 + spare).toArray(), random.ints(size, 0, 3).toArray(),
-        random.ints(size, 0, 1 << size).map(bits -> bits | random.nextInt(1 << size)).toArray(), zoneShare, regionShare);
+        random.ints(size, 0, 1 << size).map(bits -> bits | random.nextInt(1 << size)).toArray(), zoneShare,
+        regionShare);
   }
 
   @Property(tries = 250, seed = "1")
--- a/proxy/src/test/java/lemondeal/failover/CompilerTest.java
+++ b/proxy/src/test/java/lemondeal/failover/CompilerTest.java
@@ -91,7 +91,8 @@
       }
       policy.regions.keySet().forEach(name -> policy.set(policy.regions, name, "{helped_by: ["
           + policy.regions.keySet().stream().filter(other -> !other.equals(name))
-              .map(other -> "{" + other + ": " + (1 + random.nextInt(2)) + "}").toList().toString().substring(1) + "}"));
+              .map(other -> "{" + other + ": " + (1 + random.nextInt(2)) + "}").toList().toString()
+              .substring(1) + "}"));
       policy.set(policy.survive, "any_zone", true);
       String[] results = new String[4];
       for (int order = 0; order < results.length; order++) {
@@ -153,7 +154,8 @@
     Policies policy = three();
     policy.set(policy.regions, "south", "{}");
     List<String> faults = faults(policy);
-    assertTrue(faults.get(0).contains("if hobart fails, nobody may help: 0 of 40 (the demand of hobart)"), faults.get(0));
+    assertTrue(faults.get(0).contains("if hobart fails, nobody may help: 0 of 40 (the demand of hobart)"),
+        faults.get(0));
     assertTrue(faults.get(1).contains("the least change: a zone that may serve hobart if hobart fails"), faults.get(1));
   }
 
--- a/proxy/src/test/java/lemondeal/failover/PlanGuardTest.java
+++ b/proxy/src/test/java/lemondeal/failover/PlanGuardTest.java
@@ -75,7 +75,9 @@
     assertEquals(Optional.of(fresh), guard.heard(held).inForce());
   }
 
-  /** Two plans of which each waits for a majority: never do two proxies that heard truly place by different new ones. */
+  /**
+   * Two plans of which each waits for a majority: never do two proxies that heard truly place by different new ones.
+   */
   @Property(tries = 300, seed = "5")
   void noTwoNewPlansAtOnce(@ForAll long seed) {
     Random random = new Random(seed);
