Keep what the fleet decided of zones on disk before it is told, and forget nothing at a first start

Cause: a starting proxy is believed only if it remembers, and decisions were written beside the telling: after a crash a proxy could know less than others had heard of it. Three proxies of the process test even shared one file.

Change: fleet.evacuation.kept must be named; a row waits until the decision that it tells is on disk; no file means that nothing was ever left, one that can't be read or is not whole means that the proxy has to ask.

--- a/lab/src/main/java/lemondeal/lab/site/FleetSite.java
+++ b/lab/src/main/java/lemondeal/lab/site/FleetSite.java
@@ -31,7 +31,7 @@
   /**
    * Makes the site; nothing runs yet.
    *
-   * @param more lines of the operator's section {@code fleet} beside the members
+   * @param more lines of the operator's section {@code fleet} beside the members; PLACE in them is the proxy's place
    * @param discovery where the proxies list their servers
    */
   public FleetSite(int count, long seed, String more, InetSocketAddress discovery) throws IOException {
@@ -92,7 +92,7 @@
           other % 2 == 0 ? "a" : "b", address.getPort()));
     }
     return Files.writeString(folder.resolve("operator-" + i + ".yaml"),
-        "version: 1\nlog: {format: json}\nfleet:\n  members:\n" + members + more.indent(2));
+        "version: 1\nlog: {format: json}\nfleet:\n  members:\n" + members + more.replace("PLACE", Integer.toString(i)).indent(2));
   }
 
   public ServeProcess proxy(int i) {
--- a/lab/src/test/java/lemondeal/lab/site/ZoneLeftTest.java
+++ b/lab/src/test/java/lemondeal/lab/site/ZoneLeftTest.java
@@ -26,7 +26,7 @@
       evacuation:
         connections: 400
         moves: 100
-        kept: zones.state
+        kept: zones-PLACE.state
       """;
 
   private ZoneServers servers;
--- a/proxy/src/main/java/lemondeal/ZonesTogether.java
+++ b/proxy/src/main/java/lemondeal/ZonesTogether.java
@@ -36,6 +36,8 @@
   private final StateFile file;
   private final Zoned zoned;
   private Proxy proxy;
+  /** Decisions that are not on disk yet. */
+  private int unwritten;
 
   /** @throws ConfigException where a proxy of the fleet stands in a zone that the platform does not name */
   ZonesTogether(Operator.Fleet section, Config config, FleetMember member, long incarnation, long now, Balancer module,
@@ -44,7 +46,7 @@
     this.log = log;
     zoneNames = config.names().zones();
     Operator.Evacuation own = section.evacuation();
-    file = own.kept() == null ? null : new StateFile(own.kept(), log);
+    file = new StateFile(own.kept(), log);
     Named named = named(section, member);
     EvacuationSettings settings = settings(section.settings().tellMillis());
     Evacuation evacuation = new Evacuation(named, settings, Opening.of(config.settings().rules(), own.connections()),
@@ -74,10 +76,14 @@
     return Named.of(proxies, member.name());
   }
 
+  /** A first start knows that nothing was ever left; one whose file is damaged knows nothing and has to ask. */
   private Optional<EvacuationState> kept() {
-    Optional<byte[]> bytes = file == null ? Optional.empty() : file.read();
-    Optional<EvacuationState> state = bytes.flatMap(EvacuationState::decode);
-    if (bytes.isPresent() && state.isEmpty()) {
+    Optional<byte[]> bytes = file.read();
+    if (bytes.isEmpty()) {
+      return Optional.of(EvacuationState.NONE);
+    }
+    Optional<EvacuationState> state = EvacuationState.decode(bytes.get());
+    if (state.isEmpty()) {
       log.warn("zones-kept", "lemondeal: what was kept of the zones is not whole and is passed over");
     }
     return state;
@@ -90,6 +96,8 @@
   /** Begins to look around, on the proxy's own thread. */
   void begin(Proxy running) {
     running.executor().execute(() -> {
+      // Before this no row was told.
+      unwritten = 0;
       proxy = running;
       member.onChange(this::heard);
       look(running.timers());
@@ -112,9 +120,10 @@
     }
   }
 
+  /** A row waits until what it tells is on disk: after a crash this proxy must remember what others heard of it. */
   @Override
   public void row(byte[] content) {
-    if (proxy != null) {
+    if (proxy != null && unwritten == 0) {
       member.publish(SECTION, content);
     }
   }
@@ -125,9 +134,9 @@
     log.warn(decided.leaves() ? "zone-left" : "zone-returned", "lemondeal: the fleet " + (decided.leaves() ? "leaves"
         : "returns to") + " zone " + zone + ", epoch " + decided.epoch(), "zone", zone, "epoch", decided.epoch(),
         "counted_here", decided.here());
-    if (file != null) {
-      file.write(state.encode());
-    }
+    Proxy running = proxy;
+    unwritten++;
+    file.write(state.encode(), running == null ? () -> { } : () -> running.executor().execute(() -> unwritten--));
   }
 
   private String name(int zone) {
@@ -154,8 +163,6 @@
 
   @Override
   public void close() {
-    if (file != null) {
-      file.close();
-    }
+    file.close();
   }
 }
--- a/proxy/src/main/java/lemondeal/operator/FleetSection.java
+++ b/proxy/src/main/java/lemondeal/operator/FleetSection.java
@@ -52,7 +52,7 @@
   private Operator.Evacuation evacuation() {
     JsonNode section = node.path("evacuation");
     // Paths are meant from where the file is.
-    Path kept = section.has("kept") ? file.toAbsolutePath().resolveSibling(section.get("kept").asText()) : null;
+    Path kept = file.toAbsolutePath().resolveSibling(section.path("kept").asText());
     return section.isMissingNode() ? null
         : new Operator.Evacuation(section.get("connections").asInt(), section.path("moves").asInt(MOVES), kept);
   }
--- a/proxy/src/main/java/lemondeal/operator/Operator.java
+++ b/proxy/src/main/java/lemondeal/operator/Operator.java
@@ -56,7 +56,7 @@
    *
    * @param connections that a zone's servers usually hold together: what a zone bears that returns is reckoned from it
    * @param moves standing connections that leave a zone in a second, of all proxies together
-   * @param kept the file in which decisions are kept, null where they are not
+   * @param kept the file in which decisions are kept: a proxy that forgets them is not believed
    */
   public record Evacuation(int connections, int moves, Path kept) {}
 
--- a/proxy/src/main/java/lemondeal/saved/StateFile.java
+++ b/proxy/src/main/java/lemondeal/saved/StateFile.java
@@ -36,30 +36,31 @@
     this.log = log;
   }
 
-  /** What is kept; empty where nothing is, and told in the log where it can't be read. */
+  /** What is kept; empty where nothing is. What can't be read is told in the log, and no bytes come of it. */
   public Optional<byte[]> read() {
     try {
       if (Files.size(file) > MOST_BYTES) {
         log.warn("state-file", "lemondeal: " + file + " is longer than " + MOST_BYTES + " bytes and is passed over");
-        return Optional.empty();
+        return Optional.of(new byte[0]);
       }
       return Optional.of(Files.readAllBytes(file));
     } catch (NoSuchFileException e) {
       return Optional.empty();
     } catch (IOException e) {
       log.warn("state-file", "lemondeal: " + file + " can't be read: " + e);
-      return Optional.empty();
+      return Optional.of(new byte[0]);
     }
   }
 
-  /** Keeps this soon, in place of what was kept before. */
-  public void write(byte[] bytes) {
+  /** Keeps this soon, in place of what was kept before; {@code done} is run on the writer's thread, written or not. */
+  public void write(byte[] bytes, Runnable done) {
     writer.execute(() -> {
       try {
         writeNow(bytes);
       } catch (IOException e) {
         log.warn("state-file", "lemondeal: " + file + " can't be written: " + e);
       }
+      done.run();
     });
   }
 
