--- a/proxy/src/main/java/lemondeal/fleet/FleetMember.java
+++ b/proxy/src/main/java/lemondeal/fleet/FleetMember.java
@@ -95,8 +95,8 @@
   /**
    * Shares this section from now on, in place of what was shared under this name before.
    *
-   * @throws IllegalArgumentException where all sections together would be larger than {@link Row#MOST_CONTENT}; what was
-   *     shared before stays
+   * @throws IllegalArgumentException where all sections together would be larger than {@link Row#MOST_CONTENT}; what
+   *    was shared before stays
    */
   public void publish(String section, byte[] bytes) {
     TreeMap<String, byte[]> with = new TreeMap<>(sections);
@@ -157,14 +157,11 @@
   }
 
   private void tick() {
-    if (closed) {
-      return;
-    }
-    if (now() >= pace.nextAt(changed)) {
+    if (!closed) {
       tell();
+      look();
+      schedule();
     }
-    look();
-    schedule();
   }
 
   private void tell() {
@@ -201,8 +198,8 @@
     if (row != null) {
       table = table.with(row);
       if (before != null && before.row().incarnation() < row.row().incarnation()) {
-        log.info("fleet-restarted", "lemondeal: fleet: " + sender + " has started anew", "member", sender, "incarnation",
-            row.row().incarnation());
+        log.info("fleet-restarted", "lemondeal: fleet: " + sender + " has started anew", "member", sender,
+            "incarnation", row.row().incarnation());
       }
     }
     if (first && intake.heard(sender) != null) {
@@ -211,8 +208,8 @@
     }
     if (!newerTold && intake.dropped(Drop.NEWER_VERSION) > 0) {
       newerTold = true;
-      log.warn("fleet-newer-version", "lemondeal: fleet: " + sender + " tells rows of a newer version; they are ignored",
-          "member", sender);
+      log.warn("fleet-newer-version", "lemondeal: fleet: " + sender + " tells rows of a newer version;"
+          + " they are ignored", "member", sender);
     }
   }
 
--- a/proxy/src/main/java/lemondeal/fleet/HeldRow.java
+++ b/proxy/src/main/java/lemondeal/fleet/HeldRow.java
@@ -16,8 +16,8 @@
 
   /**
    * Whichever of two rows of one owner is kept. A total order decides, so that it does not matter who comes first: the
-   * newer one; of one row held twice the older moment, which errs on the safe side; of two different rows with one number,
-   * as only a liar tells them, the same one wherever they meet.
+   * newer one; of one row held twice the older moment, which errs on the safe side; of two different rows with one
+   * number, as only a liar tells them, the same one wherever they meet.
    */
   HeldRow or(HeldRow other) {
     int order = row.compareInTime(other.row);
--- a/proxy/src/main/java/lemondeal/fleet/Inbox.java
+++ b/proxy/src/main/java/lemondeal/fleet/Inbox.java
@@ -7,8 +7,8 @@
 import java.util.function.BiConsumer;
 
 /**
- * Hands letters from the link's threads to the I/O thread: the newest of each sender, so that a busy I/O thread finds no
- * queue that has grown. Nothing is decided on the link's threads.
+ * Hands letters from the link's threads to the I/O thread: the newest of each sender, so that a busy I/O thread finds
+ * no queue that has grown. Nothing is decided on the link's threads.
  */
 final class Inbox {
   private final Executor io;
--- a/proxy/src/main/java/lemondeal/fleet/Intake.java
+++ b/proxy/src/main/java/lemondeal/fleet/Intake.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * Judges what comes from the other proxies: a row of one that is named, told by itself, of which is known when it was made;
- * all else is dropped and counted. Pure but for what it remembers of whom it heard; on the I/O thread.
+ * Judges what comes from the other proxies: a row of one that is named, told by itself, of which is known when it was
+ * made; all else is dropped and counted. Pure but for what it remembers of whom it heard; on the I/O thread.
  */
 final class Intake {
   private final FleetRoster roster;
--- a/proxy/src/main/java/lemondeal/fleet/Letter.java
+++ b/proxy/src/main/java/lemondeal/fleet/Letter.java
@@ -64,8 +64,8 @@
     if (row.getContent().size() > Row.MOST_CONTENT) {
       throw new Unusable(Drop.TOO_LARGE);
     }
-    if (letter.getVersion() != VERSION || row.getOwner().isEmpty() || row.getIncarnation() <= 0 || row.getSequence() <= 0
-        || row.getAgeMillis() < 0) {
+    if (letter.getVersion() != VERSION || row.getOwner().isEmpty() || row.getIncarnation() <= 0
+        || row.getSequence() <= 0 || row.getAgeMillis() < 0) {
       throw new Unusable(Drop.GARBLED);
     }
     return new Letter(new Row(row.getOwner(), row.getIncarnation(), row.getSequence(), row.getAgeMillis(),
--- a/proxy/src/main/java/lemondeal/fleet/Pace.java
+++ b/proxy/src/main/java/lemondeal/fleet/Pace.java
@@ -1,8 +1,8 @@
 package lemondeal.fleet;
 
 /**
- * When the row goes out: at once where it changed, but not more often than four times the usual pace, and never more than
- * {@link #PEER_BYTES} a second to each other proxy, whatever the subsystems do. Pure.
+ * When the row goes out: at once where it changed, but not more often than four times the usual pace, and never more
+ * than {@link #PEER_BYTES} a second to each other proxy, whatever the subsystems do. Pure.
  */
 final class Pace {
   /** Bytes of letters a second to one other proxy. */
--- a/proxy/src/main/java/lemondeal/fleet/RowTable.java
+++ b/proxy/src/main/java/lemondeal/fleet/RowTable.java
@@ -6,8 +6,8 @@
 import java.util.TreeMap;
 
 /**
- * The newest row of each owner. Never changes: merging makes a new table, and is commutative, associative and idempotent.
- * No more owners than the fleet names can be in it, as {@link Intake} lets no other in.
+ * The newest row of each owner. Never changes: merging makes a new table, and is commutative, associative and
+ * idempotent. No more owners than the fleet names can be in it, as {@link Intake} lets no other in.
  */
 public final class RowTable {
   public static final RowTable EMPTY = new RowTable(new TreeMap<>());
--- a/proxy/src/main/java/lemondeal/fleet/Sections.java
+++ b/proxy/src/main/java/lemondeal/fleet/Sections.java
@@ -42,7 +42,8 @@
   public static Map<String, byte[]> of(byte[] content) {
     try {
       Map<String, byte[]> sections = new TreeMap<>();
-      FleetSections.parseFrom(content).getSectionsMap().forEach((name, bytes) -> sections.put(name, bytes.toByteArray()));
+      FleetSections.parseFrom(content).getSectionsMap()
+          .forEach((name, bytes) -> sections.put(name, bytes.toByteArray()));
       return sections;
     } catch (InvalidProtocolBufferException e) {
       throw new IllegalArgumentException(e.getMessage());
--- a/proxy/src/main/java/lemondeal/fleet/Sent.java
+++ b/proxy/src/main/java/lemondeal/fleet/Sent.java
@@ -1,9 +1,9 @@
 package lemondeal.fleet;
 
 /**
- * When this process told its last rows, by which others prove that theirs are younger: a letter that echoes one of these
- * was written after it was told. So a row that lay in a buffer, a relay or a stalled process is as old here as it is, and
- * no clock is compared. What is older than the ring reaches back proves nothing.
+ * When this process told its last rows, by which others prove that theirs are younger: a letter that echoes one of
+ * these was written after it was told. So a row that lay in a buffer, a relay or a stalled process is as old here as it
+ * is, and no clock is compared. What is older than the ring reaches back proves nothing.
  */
 final class Sent {
   private static final int RING = 512;
--- a/proxy/src/main/java/lemondeal/fleet/link/Door.java
+++ b/proxy/src/main/java/lemondeal/fleet/link/Door.java
@@ -49,8 +49,8 @@
 
   /** Binds the address. {@code members}: how many proxies the fleet has. */
   Door(InetSocketAddress listen, int members) throws Exception {
-    super(new DefaultThreadFactory("fleet", true), new Sockets(), listen.getAddress(), listen.getPort(), listen.getPort(),
-        null, 0, 0);
+    super(new DefaultThreadFactory("fleet", true), new Sockets(), listen.getAddress(), listen.getPort(),
+        listen.getPort(), null, 0, 0);
     most = 2 * members + STRANGERS;
   }
 
--- a/proxy/src/main/java/lemondeal/fleet/link/FleetTcp.java
+++ b/proxy/src/main/java/lemondeal/fleet/link/FleetTcp.java
@@ -9,8 +9,8 @@
 import org.jgroups.util.MessageBatch;
 
 /**
- * The library's TCP transport, with the fleet's addresses: who is not named is not heard, and a proxy is dialled where the
- * operator's file says, whatever it tells of itself.
+ * The library's TCP transport, with the fleet's addresses: who is not named is not heard, and a proxy is dialled where
+ * the operator's file says, whatever it tells of itself.
  */
 final class FleetTcp extends BasicTCP {
   private final Door door;
--- a/proxy/src/main/java/lemondeal/fleet/link/GroupLink.java
+++ b/proxy/src/main/java/lemondeal/fleet/link/GroupLink.java
@@ -33,10 +33,10 @@
 import org.jgroups.util.NameCache;
 
 /**
- * Letters by JGroups, over TCP to the addresses of the operator's file. They go past the library's retransmission, which
- * would keep old rows for a proxy that is away, and to each proxy that is named whether or not the library's group holds it:
- * docs/FLEET-DESIGN.md. Two threads of this class's own, one that joins and one that sends; the I/O thread leaves the
- * newest letter for each peer and goes on.
+ * Letters by JGroups, over TCP to the addresses of the operator's file. They go past the library's retransmission,
+ * which would keep old rows for a proxy that is away, and to each proxy that is named whether or not the library's
+ * group holds it: docs/FLEET-DESIGN.md. Two threads of this class's own, one that joins and one that sends; the I/O
+ * thread leaves the newest letter for each peer and goes on.
  */
 public final class GroupLink implements FleetLink {
   private static final String CLUSTER = "lemondeal-fleet";
@@ -104,24 +104,27 @@
         .setIncreaseMaxSizeDynamically(false);
     long life = settings.lifeMillis();
     JChannel made = new JChannel(transport, new TCPPING().setInitialHosts2(peers()).setPortRange(0),
-        new MERGE3().setMinInterval(life).setMaxInterval(3 * life), new FD_ALL3().setInterval(life / 2).setTimeout(2 * life),
+        new MERGE3().setMinInterval(life).setMaxInterval(3 * life),
+        new FD_ALL3().setInterval(life / 2).setTimeout(2 * life),
         new VERIFY_SUSPECT2().setTimeout(life / 2), new NAKACK2().useMcastXmit(false), new UNICAST3(), new STABLE(),
-        new GMS().printLocalAddress(false).setJoinTimeout(JOIN_MILLIS).setLeaveTimeout(JOIN_MILLIS).setMaxJoinAttempts(1));
+        new GMS().printLocalAddress(false).setJoinTimeout(JOIN_MILLIS).setLeaveTimeout(JOIN_MILLIS)
+            .setMaxJoinAttempts(1));
     made.setName(self);
     made.setDiscardOwnMessages(true);
     made.addAddressGenerator(() -> Identities.address(self, incarnation));
     made.setReceiver(new Receiver() {
       @Override
       public void receive(Message message) {
-        String sender = identities.name(message.getSrc());
-        if (sender != null && message.hasArray()) {
-          ear.heard(sender, bytes(message));
+        // The transport lets no sender through that is not named.
+        if (message.hasArray()) {
+          ear.heard(identities.name(message.getSrc()), bytes(message));
         }
       }
 
       @Override
       public void viewAccepted(View view) {
-        ear.group(view.getMembers().stream().map(identities::name).sorted().collect(Collectors.joining(" ")));
+        ear.group(view.getMembers().stream().map(identities::name).map(String::valueOf).sorted()
+            .collect(Collectors.joining(" ")));
       }
     });
     return made;
--- a/proxy/src/main/java/lemondeal/fleet/link/Identities.java
+++ b/proxy/src/main/java/lemondeal/fleet/link/Identities.java
@@ -14,8 +14,8 @@
 
 /**
  * The library's addresses of the fleet's proxies. A proxy's logical address is made of its name and its incarnation, so
- * that whoever receives a message knows the sender by the operator's file alone. Where a proxy is dialled is the file's to
- * say, too, never what the proxy tells of itself: through a relay or another network it may be somewhere else.
+ * that whoever receives a message knows the sender by the operator's file alone. Where a proxy is dialled is the file's
+ * to say, too, never what the proxy tells of itself: through a relay or another network it may be somewhere else.
  */
 final class Identities {
   private final Map<Long, String> names = new HashMap<>();
--- a/proxy/src/test/java/lemondeal/fleet/IntakeTest.java
+++ b/proxy/src/test/java/lemondeal/fleet/IntakeTest.java
@@ -117,7 +117,8 @@
 
   @Test
   void aNewerVersionIsIgnoredWhole() throws Exception {
-    byte[] newer = FleetLetter.parseFrom(letter("a", 0, CONTENT, mine(1))).toBuilder().setVersion(2).build().toByteArray();
+    byte[] newer = FleetLetter.parseFrom(letter("a", 0, CONTENT, mine(1))).toBuilder().setVersion(2).build()
+        .toByteArray();
     dropped(Drop.NEWER_VERSION, "a", newer);
     assertNull(intake.heard("a"));
   }
--- a/proxy/src/test/java/lemondeal/fleet/MemoryFleet.java
+++ b/proxy/src/test/java/lemondeal/fleet/MemoryFleet.java
@@ -36,18 +36,18 @@
   /** A member that starts now, whose clock is that far ahead of the others'. */
   FleetMember start(String name, long incarnation, long ahead) throws IOException {
     aheadMillis.put(name, ahead);
-    FleetMember member = new FleetMember(new FleetSettings(name, roster, null, 2000, 200), name, incarnation, link(name),
-        new EventLog() {
-          @Override
-          public void event(Level level, String event, String line, Object... fields) {
-            log.add(name + " " + event + " " + line);
-          }
-
-          @Override
-          public void failure(String line, Throwable failure) {
-            log.add(line);
-          }
-        });
+    FleetSettings settings = new FleetSettings(name, roster, null, 2000, 200);
+    FleetMember member = new FleetMember(settings, name, incarnation, link(name), new EventLog() {
+      @Override
+      public void event(Level level, String event, String line, Object... fields) {
+        log.add(name + " " + event + " " + line);
+      }
+
+      @Override
+      public void failure(String line, Throwable failure) {
+        log.add(line);
+      }
+    });
     member.start(Runnable::run, new Timers() {
       @Override
       public long now() {
--- a/proxy/src/test/java/lemondeal/fleet/link/GroupLinkTest.java
+++ b/proxy/src/test/java/lemondeal/fleet/link/GroupLinkTest.java
@@ -16,6 +16,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lemondeal.fleet.FleetLink;
@@ -47,6 +48,7 @@
 
   private final List<FleetLink> links = new ArrayList<>();
   private final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+  private final List<String> said = new CopyOnWriteArrayList<>();
   private FleetRoster roster;
 
   @BeforeEach
@@ -76,11 +78,13 @@
       @Override
       public void heard(String sender, byte[] letter) {
         heard.add(sender + ">" + name);
+        said.add(sender + ">" + name);
       }
 
       @Override
       public void group(String members) {
         heard.add(name + " sees " + members);
+        said.add(name + " sees " + members);
       }
     });
     return link;
@@ -146,13 +150,18 @@
     FleetLink stranger = start("c", 1, roster);
     FleetLink b = start("b", 1, roster);
     long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-    while (figure(a, "fleet_strangers") == 0) {
+    while (figure(a, "fleet_strangers") < 20) {
       assertTrue(System.nanoTime() < until, "the stranger's letters come and are counted");
       stranger.tell("a", letter("c", 10));
       Thread.sleep(20);
     }
     tellUntilHeard(b, "b", "a", 10);
-    assertTrue(heard.stream().noneMatch(what -> what.equals("c>a")), heard.toString());
+    assertTrue(said.stream().noneMatch(what -> what.endsWith(">a") && !what.equals("b>a")), said.toString());
+    while (said.stream().noneMatch(what -> what.startsWith("c sees c"))) {
+      assertTrue(System.nanoTime() < until, "it finds nobody that takes it in: " + said);
+      Thread.sleep(20);
+    }
+    assertTrue(said.stream().noneMatch(what -> what.startsWith("a sees") && what.contains("null")), said.toString());
   }
 
   @Test
@@ -192,15 +201,7 @@
     if (kind == 1) {
       out.write(noise);
     } else if (kind == 2) {
-      IpAddress claimed = new IpAddress("127.0.0.1", 1024 + random.nextInt(60_000));
-      out.write("bela".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
-      out.writeShort(org.jgroups.Version.version);
-      out.writeShort(claimed.serializedSize());
-      try {
-        claimed.writeTo(out);
-      } catch (Exception e) {
-        throw new IOException(e);
-      }
+      greet(out, 1024 + random.nextInt(60_000));
       for (int length : new int[] {noise.length + 3, 3, random.nextInt(200)}) {
         out.writeInt(length);
         out.writeShort(org.jgroups.Version.version);
@@ -213,6 +214,29 @@
     out.flush();
   }
 
+  /** What the library says first: who it is. */
+  private static void greet(DataOutputStream out, int port) throws IOException {
+    IpAddress claimed = new IpAddress(new InetSocketAddress("127.0.0.1", port));
+    out.write("bela".getBytes(java.nio.charset.StandardCharsets.US_ASCII));
+    out.writeShort(org.jgroups.Version.version);
+    out.writeShort(claimed.serializedSize());
+    claimed.writeTo(out);
+    out.flush();
+  }
+
+  @Test
+  void theNewestConnectionOfAPeerTakesTheOldOnesPlace() throws Exception {
+    start("a", 1, roster);
+    try (Socket old = new Socket(); Socket fresh = new Socket()) {
+      old.setSoTimeout(30_000);
+      for (Socket socket : List.of(old, fresh)) {
+        socket.connect(roster.member("a").address(), 5000);
+        greet(new DataOutputStream(socket.getOutputStream()), 7);
+      }
+      assertEquals(-1, old.getInputStream().read(), "a dead one would hold its place for ever");
+    }
+  }
+
   @Test
   void anAddressThatIsTakenIsSaid() throws Exception {
     start("a", 1, roster);
