Play faults at a site of real proxies by a script in the form of an experiment's faults

RelayScript only knew what a program put together.

SiteScript reads a fault a line ('at 5s stall n0,n1 from n2 for 3s'; cut, stall, delay, lose, throttle, stop, kill; 'to' one way, 'from' both) or draws them from a seed, and plays them on a FleetSite, SIGSTOP and kill -9 with a new start among them.

--- a/lab/src/main/java/lemondeal/lab/site/FleetSite.java
+++ b/lab/src/main/java/lemondeal/lab/site/FleetSite.java
@@ -15,7 +15,8 @@
 
 /**
  * A fleet of real proxies on loopback that tell each other rows, with a {@link Relay} in each direction of each pair. A
- * proxy is named {@code n} and its place; they stand in the zones {@code a} and {@code b} in turn. Ended with its owner.
+ * proxy is named {@code n} and its place; they stand in the zones {@code a} and {@code b} in turn. Ended with its
+ * owner.
  */
 public final class FleetSite implements AutoCloseable {
   private static final String SIGHT = "\"event\":\"fleet-sight\"";
@@ -56,6 +57,11 @@
     }
   }
 
+  /** How many proxies it has. */
+  public int size() {
+    return count;
+  }
+
   public static String name(int i) {
     return "n" + i;
   }
--- a/lab/src/main/java/lemondeal/lab/site/Relay.java
+++ b/lab/src/main/java/lemondeal/lab/site/Relay.java
@@ -17,7 +17,8 @@
 
 /**
  * Stands on loopback before one address and passes on what is sent there, as its {@link Passage} says. What comes back
- * passes freely unless nothing passes at all. Its draws come from the seed, one stream in the order in which pieces come.
+ * passes freely unless nothing passes at all. Its draws come from the seed, one stream in the order in which pieces
+ * come.
  */
 public final class Relay implements AutoCloseable {
   private static final int PIECE = 4096;
--- a/lab/src/test/java/lemondeal/lab/site/FleetSiteTest.java
+++ b/lab/src/test/java/lemondeal/lab/site/FleetSiteTest.java
@@ -1,6 +1,7 @@
 package lemondeal.lab.site;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
@@ -50,7 +51,8 @@
       site.awaitSight(0, "n0 n1", PATIENCE);
       site.awaitSight(1, "n0 n1", PATIENCE);
       site.awaitSight(2, "n2", PATIENCE);
-      assertTrue(site.proxy(2).log().stream().anyMatch(line -> line.contains("\"not_in_sight\":\"n0 n1\",\"majority\":false")));
+      assertTrue(site.proxy(2).log().stream().anyMatch(line ->
+          line.contains("\"not_in_sight\":\"n0 n1\",\"majority\":false")));
       site.let(2, Passage.OPEN);
       awaitAll();
     }
@@ -123,9 +125,23 @@
   /** Faults of all kinds at once, drawn from a seed: when they are over, all see all. */
   @Test
   void allSeeAllWhenADrawnDayOfFaultsIsOver() throws Exception {
-    RelayScript.drawn(24, 3, 24, 12_000).play(site);
+    SiteScript.drawn(24, 3, 24, 12_000).play(site);
     awaitAll();
-    assertEquals(RelayScript.drawn(7, 3, 9, 5_000), RelayScript.drawn(7, 3, 9, 5_000));
+    assertEquals(SiteScript.drawn(7, 3, 9, 5_000), SiteScript.drawn(7, 3, 9, 5_000));
+  }
+
+  /** Proxies that stand still, die, are parted and slow at once, as a script says. */
+  @Test
+  void allSeeAllWhenAScriptIsOver() throws Exception {
+    SiteScript.read("""
+        at 0s stall n0 from n1,n2 for 3s
+        at 1s stop n1 for 4s
+        at 2s kill n2 for 2s
+        at 5s delay all by 50ms spread 100ms for 3s
+        at 6s lose n1 to n0 by 0.5 for 1s
+        """).play(site);
+    awaitAll();
+    assertThrows(IllegalArgumentException.class, () -> SiteScript.read("at 3 cut n0"));
   }
 
   /** Where the platform's settings forbid it, the section is refused: file, line, why, exit 2. */
