--- a/proxy/src/main/java/lemondeal/admin/Admin.java
+++ b/proxy/src/main/java/lemondeal/admin/Admin.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 import lemondeal.config.Limits;
-import lemondeal.net.Crowd;
+import lemondeal.net.EvictingSet;
 import lemondeal.net.Link;
 
 /**
@@ -26,12 +26,12 @@
 
   private final Limits limits;
   private final Subject subject;
-  private final Crowd<Caller> callers;
+  private final EvictingSet<Caller> callers;
 
   public Admin(Limits limits, Subject subject) {
     this.limits = limits;
     this.subject = subject;
-    callers = new Crowd<>(limits::adminCallers, Caller::drop);
+    callers = new EvictingSet<>(limits::adminCallers, Caller::drop);
   }
 
   public void accepted(Link link) {
--- a/proxy/src/main/java/lemondeal/admin/Caller.java
+++ b/proxy/src/main/java/lemondeal/admin/Caller.java
@@ -5,7 +5,7 @@
 import lemondeal.codec.LineParser;
 import lemondeal.codec.ProtocolException;
 import lemondeal.config.Limits;
-import lemondeal.net.Crowd;
+import lemondeal.net.EvictingSet;
 import lemondeal.net.Link;
 import lemondeal.net.Timers;
 
@@ -13,15 +13,15 @@
 final class Caller implements Link.Owner {
   private final Limits limits;
   private final Link link;
-  private final Crowd<Caller> crowd;
+  private final EvictingSet<Caller> callers;
   private final UnaryOperator<String> replies;
   private final LineParser lines;
   private Timers.Timer timer;
 
-  Caller(Limits limits, Link link, Crowd<Caller> crowd, UnaryOperator<String> replies) {
+  Caller(Limits limits, Link link, EvictingSet<Caller> callers, UnaryOperator<String> replies) {
     this.limits = limits;
     this.link = link;
-    this.crowd = crowd;
+    this.callers = callers;
     this.replies = replies;
     lines = LineParser.ofEitherEnd(limits.adminLine());
   }
@@ -29,7 +29,7 @@
   void start() {
     timer = link.after(limits.adminCall(), this::drop);
     link.start(this);
-    crowd.enter(this);
+    callers.enter(this);
   }
 
   @Override
@@ -64,7 +64,7 @@
 
   private void leave() {
     Timers.cancel(timer);
-    crowd.leave(this);
+    callers.leave(this);
   }
 
   @Override
--- a/proxy/src/main/java/lemondeal/config/Limits.java
+++ b/proxy/src/main/java/lemondeal/config/Limits.java
@@ -12,8 +12,8 @@
  * @param clients client links with a request held at once; those beyond are throttled
  * @param ringsMb megabytes that ring buffers may take at most, beside the share of the memory that bounds them
  * @param shared whether another process may be running on the same machine, within the same limits
- * @param newcomers connections that have not sent their first line held at once when all client links are taken;
- *     see {@link #newcomers(int)}
+ * @param pending connections that have not sent their first line held at once when all client links are taken;
+ *     see {@link #pending(int)}
  * @param lingering closed sides still read at once; beyond, the oldest goes
  * @param accepted connections accepted at once, of whatever kind
  * @param accepts connections accepted before those that are open have their turn
@@ -49,7 +49,7 @@
  * @param drainMost the longest that a stop may take
  */
 public record Limits(int lineBytes, int ringBytes, int listLineBytes, int turnBytes, int lingerBytes, int clients,
-    int ringsMb, boolean shared, int newcomers, int lingering, int accepted, int accepts, int adminCallers, int adminLine,
+    int ringsMb, boolean shared, int pending, int lingering, int accepted, int accepts, int adminCallers, int adminLine,
     long adminCall, long listWithin, long tick, int wheelSlots, long dial, long answerLead, long firstLine,
     long silence, long unease, long moment, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe,
     long probeIdle, long watchSilence, long adoptPause, long adoptFor, long throttleFor, long drainAccept,
@@ -68,8 +68,8 @@
   private static final int IDLE_LEAST = 36;
   private static final int IDLE_PART = 16;
   private static final int SMALLEST = 256;
-  /** Where two processes run, free slots for each further newcomer: the other one's clients need room too. */
-  private static final int SLOTS_PER_NEWCOMER = 5;
+  /** Where two processes run, free slots for each further one: the other one's clients need room too. */
+  private static final int SLOTS_PER_PENDING = 5;
   /** Connections accepted in one go before the oldest of a full crowd are closed. */
   private static final int ACCEPT_SLACK = 6;
   private static final int RING_BYTES = 8192;
@@ -111,16 +111,16 @@
     long drainSpread = Math.min(DRAIN_SPREAD, drainMoves);
     int idle = (IDLE_LEAST + Math.max(0, sockets - SMALLEST) / IDLE_PART) / processes;
     int lingering = idle / 3;
-    int newcomers = idle - lingering - ACCEPT_SLACK;
+    int pending = idle - lingering - ACCEPT_SLACK;
     int bySockets = (sockets - processes * (OWN_FILES + OWN_SOCKETS + ADMIN_FILES + idle)) / 2;
     int byMemory = (int) (((long) Math.min(memoryMb / RINGS_PART, ringsMb) << 20) / (2 * RING_BYTES));
     int clients = Math.min(bySockets, byMemory);
     if (clients < 1) {
       throw new ConfigException("limits: " + sockets + " sockets and " + memoryMb + " MB leave no room for clients");
     }
-    int accepted = shared ? clients + clients / SLOTS_PER_NEWCOMER + idle : 2 * clients + idle;
+    int accepted = shared ? clients + clients / SLOTS_PER_PENDING + idle : 2 * clients + idle;
     return new Limits(4096, RING_BYTES, 1 << 20, 64 * 1024, 64 * 1024, clients, ringsMb,
-        shared, newcomers, lingering, accepted, 32, ADMIN_CALLERS, 256, 5 * SECOND,
+        shared, pending, lingering, accepted, 32, ADMIN_CALLERS, 256, 5 * SECOND,
         3 * SECOND, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 400 * MILLI,
         30 * MILLI, 64, LINGER, 5 * SECOND, SECOND, 1.0 / 3, SECOND,
         keepalive, 3500 * MILLI, 250 * MILLI, 35 * SECOND, SECOND, DRAIN_ACCEPT,
@@ -128,7 +128,7 @@
   }
 
   /** Connections that may be held without a first line while so many client links are not taken. */
-  public int newcomers(int left) {
-    return newcomers + (shared ? left / SLOTS_PER_NEWCOMER : 2 * left);
+  public int pending(int left) {
+    return pending + (shared ? left / SLOTS_PER_PENDING : 2 * left);
   }
 }
--- a/proxy/src/main/java/lemondeal/module/Logic.java
+++ b/proxy/src/main/java/lemondeal/module/Logic.java
@@ -15,10 +15,11 @@
   private final Shedding shedding = new Shedding(node, moves, groups);
   private final Health health = new Health(node, moves, load, shedding);
   private final ColdAdmission cold = new ColdAdmission(node, load);
-  private final Doors doors = new Doors(node, moves);
+  private final ZoneAdmission zoneAdmission = new ZoneAdmission(node, moves);
   private final Setups setups = new Setups(node);
-  private final Ranking ranking = new Ranking(node, load, health, shedding, cold, doors);
-  private final Requests requests = new Requests(node, load, health, groups, cold, setups, ranking, doors);
+  private final Ranking ranking = new Ranking(node, load, health, shedding, cold, zoneAdmission);
+  private final Requests requests = new Requests(node, load, health, groups, cold, setups, ranking,
+      zoneAdmission);
   private final Membership membership = new Membership(node);
 
   @Override
@@ -50,7 +51,7 @@
     } else if (event instanceof Adopted e) {
       requests.adopted(e);
     } else if (event instanceof ZoneOpen e) {
-      doors.told(e);
+      zoneAdmission.told(e);
     } else if (event instanceof Start e) {
       node.start(e);
       groups.start();
--- a/proxy/src/main/java/lemondeal/module/Ranking.java
+++ b/proxy/src/main/java/lemondeal/module/Ranking.java
@@ -4,7 +4,7 @@
 
 /** The order in which a request tries the servers. */
 record Ranking(Node node, Load load, Health health, Shedding shedding, ColdAdmission cold,
-    Doors doors) {
+    ZoneAdmission zoneAdmission) {
   private static final double NEAR_GAIN = 50; // weight that a point of price for crossing adds at home
 
   /** The first server of the flow's ranking that may be used, or null. Passed-over ones come last, so that a
@@ -43,7 +43,7 @@
     boolean holds = s.state == ServerState.DRAINING && flow.request.midFlow() && flow.tried.isEmpty()
         && node.now - s.drainingSince < node.settings.rules().drainGrace();
     return (s.state == ServerState.READY || holds) && !flow.tried.contains(s) && flow.repeatsDropped(s)
-        && doors.admits(s, flow);
+        && zoneAdmission.admits(s, flow);
   }
 
   /** A server known to be at its limit takes none, and one lately over it goes without a share. */
@@ -67,7 +67,7 @@
         soonest = Math.min(soonest, Math.max(0, load.overLimitUntil(s) - node.now));
       }
     }
-    return soonest == Long.MAX_VALUE && !doors.closed() ? 0 : soonest;
+    return soonest == Long.MAX_VALUE && !zoneAdmission.closed() ? 0 : soonest;
   }
 
   /** Whether the overload is over for a group turned away: no server is hot, and one has room by its own
--- a/proxy/src/main/java/lemondeal/module/Requests.java
+++ b/proxy/src/main/java/lemondeal/module/Requests.java
@@ -5,7 +5,7 @@
 
 /** The life of a request: its attempts, its waits and its final answer. */
 record Requests(Node node, Load load, Health health, Groups groups, ColdAdmission cold, Setups setups,
-    Ranking ranking, Doors doors) {
+    Ranking ranking, ZoneAdmission zoneAdmission) {
   private static final long HOLD = 100_000; // before a held request looks again for a server
   private static final long ANSWER_LEAD = 30_000; // before the client leaves; a few ticks of any node
 
@@ -72,7 +72,7 @@
 
   private void send(Flow flow, Server s, long left) {
     cold.sent(s);
-    doors.sent(s);
+    zoneAdmission.sent(s);
     flow.tried.add(s);
     s.sentSince++;
     s.ownLoad += flow.load;
--- a/proxy/src/main/java/lemondeal/module/Doors.java
+++ b/proxy/src/main/java/lemondeal/module/ZoneAdmission.java
@@ -7,12 +7,12 @@
 
 /** How far zones are open, where the fleet decides that together. Which keys may enter is cut by key, so that
  * a zone that opens again gets back the keys that it had; the order within a zone is left alone. */
-final class Doors {
+final class ZoneAdmission {
   private final Node node;
   private final Moves moves;
   private final Map<Integer, ZoneOpen> doors = new HashMap<>(0);
 
-  Doors(Node node, Moves moves) {
+  ZoneAdmission(Node node, Moves moves) {
     this.node = node;
     this.moves = moves;
   }
--- a/proxy/src/main/java/lemondeal/module/package-info.java
+++ b/proxy/src/main/java/lemondeal/module/package-info.java
@@ -3,8 +3,8 @@
  * that docs/DESIGN.md lists. Each class has its tunables (times in microseconds) and knows only those before
  * it here: {@code Rendezvous}, {@code Server} with {@code Flow} (these two know each other), {@code Node},
  * {@code Moves}, {@code Load}, {@code Groups}, {@code Shedding}, {@code Health}, {@code ColdAdmission},
- * {@code Doors}, {@code Setups}, {@code Ranking}, {@code Requests}, {@code Membership}, {@code Logic}. Parts
- * without state of their own are records. There is none for peers: what a fleet shares is decided in
- * packages of its own and told here as events.
+ * {@code ZoneAdmission}, {@code Setups}, {@code Ranking}, {@code Requests}, {@code Membership},
+ * {@code Logic}. Parts without state of their own are records. There is none for peers: what a fleet shares
+ * is decided in packages of its own and told here as events.
  */
 package lemondeal.module;
--- a/proxy/src/main/java/lemondeal/net/Crowd.java
+++ b/proxy/src/main/java/lemondeal/net/EvictingSet.java
@@ -8,13 +8,13 @@
  * Holders of a descriptor that have no request. They are bounded apart from all others: when there are too many,
  * the oldest is sent away, so that connections by the hundred that say nothing keep no client out.
  */
-public final class Crowd<T> {
+public final class EvictingSet<T> {
   private final IntSupplier most;
   private final Consumer<T> away;
   private final LinkedHashSet<T> members = new LinkedHashSet<>();
 
   /** {@code away} ends a member, which has left by then; how many there may be can change. */
-  public Crowd(IntSupplier most, Consumer<T> away) {
+  public EvictingSet(IntSupplier most, Consumer<T> away) {
     this.most = most;
     this.away = away;
   }
--- a/proxy/src/main/java/lemondeal/net/Net.java
+++ b/proxy/src/main/java/lemondeal/net/Net.java
@@ -38,13 +38,13 @@
   private final XnioWorker worker;
   private final XnioIoThread thread;
   private final Faults faults;
-  private final Crowd<Link> lingering;
+  private final EvictingSet<Link> lingering;
   private Timers timers;
 
   public Net(Limits limits, Faults faults) throws IOException {
     this.limits = limits;
     this.faults = faults;
-    lingering = new Crowd<>(limits::lingering, Link::close);
+    lingering = new EvictingSet<>(limits::lingering, Link::close);
     rings = new RingPool(limits.ringBytes());
     worker = Xnio.getInstance().createWorkerBuilder()
         .setWorkerName("lemondeal")
@@ -107,7 +107,7 @@
     return faults;
   }
 
-  Crowd<Link> lingering() {
+  EvictingSet<Link> lingering() {
     return lingering;
   }
 
--- a/proxy/src/main/java/lemondeal/proxy/Gate.java
+++ b/proxy/src/main/java/lemondeal/proxy/AdmissionControl.java
@@ -1,12 +1,12 @@
 package lemondeal.proxy;
 
 /** Lets requests in while there is a slot and the proxy is to run on, and keeps the table of those inside. */
-final class Gate {
+final class AdmissionControl {
   private final Requests requests;
   private boolean closing;
   private Runnable emptied = () -> { };
 
-  Gate(Requests requests) {
+  AdmissionControl(Requests requests) {
     this.requests = requests;
   }
 
--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -27,7 +27,7 @@
   private enum State { WAITING, UP, OVER }
 
   private final Context context;
-  private final Gate gate;
+  private final AdmissionControl admission;
   private final Link link;
   private final LineParser lines;
   private final OpenLine open;
@@ -40,7 +40,7 @@
   private int attempts;
   private Execution execution;
   /** From UP on. */
-  private ServerNotes notes;
+  private PassiveHealthCheck health;
   private Timers.Timer timer;
   /** Whether the module knows of it. */
   private boolean admitted;
@@ -49,9 +49,9 @@
   private boolean clientEnded;
   private boolean serverEnded;
 
-  ClientLink(Context context, Gate gate, Link link, OpenLine open, int requestClass) {
+  ClientLink(Context context, AdmissionControl admission, Link link, OpenLine open, int requestClass) {
     this.context = context;
-    this.gate = gate;
+    this.admission = admission;
     this.link = link;
     this.open = open;
     this.requestClass = requestClass;
@@ -59,11 +59,11 @@
     lines = new LineParser(context.limits().lineBytes());
   }
 
-  /** The gate must have room. */
+  /** The admission must have room. */
   void start() {
     long now = context.now();
     long due = now + (long) (open.deadlineMillis() * MILLI);
-    id = gate.enter(this);
+    id = admission.enter(this);
     // The client counts from its sending: what the module believes ends a little earlier.
     request = new Request(id, due - context.limits().answerLead(), requestClass, open.key(), open.value("g"),
         open.number("h"), false, open.marked("again"), 0, open.marked("r"));
@@ -181,7 +181,7 @@
   void up(Execution from, String line) {
     state = State.UP;
     Timers.cancel(timer);
-    notes = new ServerNotes(context, link, request, from, () -> moveNow(Outcome.RESET));
+    health = new PassiveHealthCheck(context, link, request, from, () -> moveNow(Outcome.RESET));
     link.send(line + "\r\n" + continuity.up(from.number(), from.server(), line));
     context.figures().served(requestClass);
     if (isAdoption()) {
@@ -189,7 +189,7 @@
     } else {
       context.decisions().tell(new Established(id, from.number(), from.server(), from.elapsed()));
     }
-    if (gate.isClosing()) {
+    if (admission.isClosing()) {
       move();
     }
   }
@@ -258,10 +258,10 @@
   private void leave() {
     state = State.OVER;
     Timers.cancel(timer);
-    if (notes != null) {
-      notes.stop();
+    if (health != null) {
+      health.stop();
     }
-    gate.leave(id);
+    admission.leave(id);
     overForContinuity();
   }
 
@@ -279,7 +279,7 @@
     ByteBuffer looked = bytes.duplicate();
     while (looked.hasRemaining()) {
       if (lines.next(looked) != null) {
-        notes.clientLine();
+        health.clientLine();
         continuity.fromClient();
       }
     }
@@ -288,7 +288,7 @@
 
   void lineFromServer(ServerLine line) {
     if (continuity.answers(line)) {
-      notes.serverLine(line);
+      health.serverLine(line);
     }
     if (moving) {
       moveNow(Outcome.CANCELLED);
--- a/proxy/src/main/java/lemondeal/proxy/ServerNotes.java
+++ b/proxy/src/main/java/lemondeal/proxy/PassiveHealthCheck.java
@@ -7,7 +7,7 @@
 import lemondeal.net.Link;
 
 /** What one standing connection tells the module of its server: its load, its delays and its silence. */
-final class ServerNotes {
+final class PassiveHealthCheck {
   /**
    * Share of its usual load, by the client's hint, that a connection at rest still asks for; a delay in milliseconds
    * stays far below. Of 32,932 loads in the simulator none was under 0.057, of 4,400 delays 98 in 100 were.
@@ -18,19 +18,19 @@
   private final String id;
   private final double usualLoad;
   private final Execution execution;
-  private final Unanswered unanswered;
+  private final ResponseTimeout responses;
 
   /** {@code silent} is run when the server has left a line unanswered for too long. */
-  ServerNotes(Context context, Link client, Request request, Execution execution, Runnable silent) {
+  PassiveHealthCheck(Context context, Link client, Request request, Execution execution, Runnable silent) {
     this.context = context;
     id = request.id();
     usualLoad = request.cost();
     this.execution = execution;
-    unanswered = new Unanswered(context, client, this::waiting, silent);
+    responses = new ResponseTimeout(context, client, this::waiting, silent);
   }
 
   void clientLine() {
-    unanswered.lineSent();
+    responses.lineSent();
   }
 
   void serverLine(ServerLine line) {
@@ -42,7 +42,7 @@
   }
 
   private void answer() {
-    long took = unanswered.lineCame();
+    long took = responses.lineCame();
     if (took >= 0) {
       context.delays().measured(context.now(), id, execution.number(), execution.server(), took);
     }
@@ -78,6 +78,6 @@
   }
 
   void stop() {
-    unanswered.stop();
+    responses.stop();
   }
 }
--- a/proxy/src/main/java/lemondeal/proxy/Newcomer.java
+++ b/proxy/src/main/java/lemondeal/proxy/PendingLink.java
@@ -4,7 +4,7 @@
 import lemondeal.codec.LineParser;
 import lemondeal.codec.OpenLine;
 import lemondeal.codec.ProtocolException;
-import lemondeal.net.Crowd;
+import lemondeal.net.EvictingSet;
 import lemondeal.net.Link;
 import lemondeal.net.Timers;
 
@@ -12,22 +12,22 @@
  * An accepted connection up to its first line. Answers {@code PING}; makes a {@link ClientLink} of a client whose
  * line can be used, and sends away everybody else, soon: whatever comes is owed an answer or an end.
  */
-final class Newcomer implements Link.Owner {
+final class PendingLink implements Link.Owner {
   /** The longest answer that may be owed behind those to {@code PING}, and what a cut line may still add. */
   private static final int ANSWER_ROOM = 64;
 
   private final Context context;
-  private final Gate gate;
-  private final Crowd<Newcomer> crowd;
+  private final AdmissionControl admission;
+  private final EvictingSet<PendingLink> pending;
   private final Link link;
   private final LineParser lines;
   private Timers.Timer timer;
   private boolean over;
 
-  Newcomer(Context context, Gate gate, Crowd<Newcomer> crowd, Link link) {
+  PendingLink(Context context, AdmissionControl admission, EvictingSet<PendingLink> pending, Link link) {
     this.context = context;
-    this.gate = gate;
-    this.crowd = crowd;
+    this.admission = admission;
+    this.pending = pending;
     this.link = link;
     lines = new LineParser(context.limits().lineBytes());
   }
@@ -35,7 +35,7 @@
   void start() {
     timer = link.after(context.limits().firstLine(), this::drop);
     link.start(this);
-    crowd.enter(this);
+    pending.enter(this);
   }
 
   /**
@@ -74,14 +74,14 @@
       throw new ProtocolException("unknown class " + open.value("c"));
     }
     leave();
-    if (moreFollows || gate.holds(open.id())) {
+    if (moreFollows || admission.holds(open.id())) {
       // A client waits behind its first line; and nobody else may use the id of an open request.
       context.answers().failed(link, requestClass);
-    } else if (!gate.admits()) {
+    } else if (!admission.admits()) {
       context.answers().busy(link, requestClass, context.limits().throttleFor());
     } else {
-      new ClientLink(context, gate, link, open, requestClass).start();
-      crowd.trim();
+      new ClientLink(context, admission, link, open, requestClass).start();
+      pending.trim();
     }
   }
 
@@ -105,7 +105,7 @@
   private void leave() {
     over = true;
     Timers.cancel(timer);
-    crowd.leave(this);
+    pending.leave(this);
   }
 
   @Override
--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -35,7 +35,7 @@
 import lemondeal.figures.Figures;
 import lemondeal.log.EventLog;
 import lemondeal.log.PlainLog;
-import lemondeal.net.Crowd;
+import lemondeal.net.EvictingSet;
 import lemondeal.net.Faults;
 import lemondeal.net.Link;
 import lemondeal.net.Listener;
@@ -57,8 +57,8 @@
   private final ListSource discovery;
   private final Context context;
   private final Requests requests;
-  private final Gate gate;
-  private final Crowd<Newcomer> newcomers;
+  private final AdmissionControl admission;
+  private final EvictingSet<PendingLink> pending;
   private final EventLog log;
   private final Map<String, Prober> probers = new HashMap<>();
   private final Figures figures;
@@ -103,9 +103,9 @@
     context = new Context(config, net, wheel, group, decisions, delays, figures, new FinalAnswer(figures),
         resumption == null ? Continuity.Plain::new : resumption::of);
     requests = new Requests(limits.clients());
-    gate = new Gate(requests);
-    newcomers = new Crowd<>(() -> limits.newcomers(requests.left()), Newcomer::makeRoom);
-    stop = new Stop(limits, wheel, gate, requests, () -> !newcomers.isEmpty());
+    admission = new AdmissionControl(requests);
+    pending = new EvictingSet<>(() -> limits.pending(requests.left()), PendingLink::makeRoom);
+    stop = new Stop(limits, wheel, admission, requests, () -> !pending.isEmpty());
   }
 
   /** Starts on the I/O thread; returns when the addresses are listened on, or throws what went wrong. */
@@ -162,7 +162,7 @@
   }
 
   private void accepted(Link link) {
-    new Newcomer(context, gate, newcomers, link).start();
+    new PendingLink(context, admission, pending, link).start();
   }
 
   /** Runs tasks on the I/O thread, for what comes from threads of others; from any thread. */
--- a/proxy/src/main/java/lemondeal/proxy/Unanswered.java
+++ b/proxy/src/main/java/lemondeal/proxy/ResponseTimeout.java
@@ -10,7 +10,7 @@
  * connection stays open and brings nothing. Long before that is certain, the waiting itself is told as a delay: a
  * sound connection answers at once, and a server that hangs tells no delay of its own.
  */
-final class Unanswered {
+final class ResponseTimeout {
   private final Context context;
   private final Link link;
   private final LongConsumer waiting;
@@ -24,7 +24,7 @@
    * @param waiting is told now and then how long the oldest line has waited, once that is long
    * @param silent is run when it has waited too long
    */
-  Unanswered(Context context, Link link, LongConsumer waiting, Runnable silent) {
+  ResponseTimeout(Context context, Link link, LongConsumer waiting, Runnable silent) {
     this.context = context;
     this.link = link;
     this.waiting = waiting;
--- a/proxy/src/main/java/lemondeal/proxy/Stop.java
+++ b/proxy/src/main/java/lemondeal/proxy/Stop.java
@@ -16,17 +16,17 @@
 final class Stop {
   private final Limits limits;
   private final Timers timers;
-  private final Gate gate;
+  private final AdmissionControl admission;
   private final Requests requests;
   /** Whether connections wait here whose first line has not come. */
   private final BooleanSupplier awaited;
   private final CountDownLatch done = new CountDownLatch(1);
   private long movedBy;
 
-  Stop(Limits limits, Timers timers, Gate gate, Requests requests, BooleanSupplier awaited) {
+  Stop(Limits limits, Timers timers, AdmissionControl admission, Requests requests, BooleanSupplier awaited) {
     this.limits = limits;
     this.timers = timers;
-    this.gate = gate;
+    this.admission = admission;
     this.requests = requests;
     this.awaited = awaited;
   }
@@ -34,7 +34,7 @@
   /** For a process that has the clients' listening socket for itself. */
   void begin(Listener own) {
     endInTime();
-    gate.close(() -> { });
+    admission.close(() -> { });
     timers.after(limits.drainAccept(), () -> {
       own.acceptRestAndClose();
       timers.after(requests.isEmpty() ? 0 : limits.drainHold(), () -> moveWithin(limits.drainSpread()));
@@ -84,7 +84,7 @@
     boolean allSeen = movable.size() <= share && !awaited.getAsBoolean();
     if (steps == 0 || allSeen) {
       // Who comes up from now on is moved at once. What was written last must still arrive before the end.
-      gate.close(() -> timers.after(limits.linger(), done::countDown));
+      admission.close(() -> timers.after(limits.linger(), done::countDown));
     } else {
       timers.after(limits.drainStep(), this::moveSome);
     }
--- a/proxy/src/test/java/lemondeal/DoorsTest.java
+++ b/proxy/src/test/java/lemondeal/ZoneAdmissionTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 /** Zones that the fleet left together, or opens again. */
-class DoorsTest {
+class ZoneAdmissionTest {
   private static final int KEYS = 200;
 
   private static Node node(Node.With with) {
--- a/proxy/src/test/java/lemondeal/config/ConfigTest.java
+++ b/proxy/src/test/java/lemondeal/config/ConfigTest.java
@@ -71,7 +71,7 @@
     for (int sockets : new int[] {256, 384, 612, 1024}) {
       Limits limits = Limits.of(sockets, 144, 150_000, 5_000_000, 2_000_000);
       assertTrue(limits.clients() >= sockets / 3, "clients " + limits.clients() + " of " + sockets);
-      assertTrue(limits.accepted() >= 2 * limits.clients() + limits.newcomers() + limits.lingering());
+      assertTrue(limits.accepted() >= 2 * limits.clients() + limits.pending() + limits.lingering());
       assertTrue(limits.accepted() <= sockets - 40, "room for files, probes and lists");
     }
   }
@@ -82,7 +82,7 @@
     for (int sockets : new int[] {592, 716, 1024}) {
       Limits limits = Limits.of(sockets, 208, 150_000, 5_000_000, 2_000_000, true, Limits.RINGS_MB);
       assertTrue(limits.clients() >= sockets / 3, "either may have them all: " + limits.clients());
-      int idle = 2 * (limits.newcomers(limits.clients() - sockets / 6) + limits.lingering());
+      int idle = 2 * (limits.pending(limits.clients() - sockets / 6) + limits.lingering());
       assertTrue(2 * sockets / 3 + idle + 2 * 48 <= sockets, idle + " without a request, of " + sockets);
     }
   }
--- a/proxy/src/test/java/lemondeal/proxy/BadClientsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/BadClientsTest.java
@@ -35,7 +35,7 @@
     try (Site site = new Site(ProxyTest::sendOnce, "", 256)) {
       long from = System.nanoTime();
       List<Peer> silent = new ArrayList<>();
-      for (int i = 0; i <= site.limits().newcomers() + 2 * site.limits().clients(); i++) {
+      for (int i = 0; i <= site.limits().pending() + 2 * site.limits().clients(); i++) {
         silent.add(site.client());
       }
       assertNull(silent.get(0).line(), "the oldest is sent away");
