--- a/proxy/src/main/java/lemondeal/proxy/Clock.java
+++ b/proxy/src/main/java/lemondeal/proxy/Clock.java
@@ -1,7 +1,7 @@
 package lemondeal.proxy;
 
 /** The system's time in microseconds since 1970, read once and then moved by the clock that never goes back. */
-final class Clock {
+class Clock {
   private final long base = System.currentTimeMillis() * 1000;
   private final long started = System.nanoTime();
 
--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -85,12 +85,17 @@
   /** The same, with servers listed by {@code sources}. */
   public Proxy(Config config, Balancer module, EventLog log, Resumption resumption, ListSource.Maker sources)
       throws IOException {
+    this(config, module, log, resumption, sources, new Clock());
+  }
+
+  /** The same, by this clock. */
+  Proxy(Config config, Balancer module, EventLog log, Resumption resumption, ListSource.Maker sources, Clock clock)
+      throws IOException {
     this.resumption = resumption;
     this.config = config;
     this.module = module;
     this.log = log;
     limits = config.limits();
-    Clock clock = new Clock();
     Faults faults = new Faults(log);
     net = new Net(limits, faults);
     wheel = new TimerWheel(clock::now, limits.tick(), limits.wheelSlots(), faults, this::scheduleAdvance);
