--- a/lab/src/main/java/lemondeal/lab/emulator/ProxyNode.java
+++ b/lab/src/main/java/lemondeal/lab/emulator/ProxyNode.java
@@ -21,7 +21,6 @@
 import lemondeal.Balancer.Move;
 import lemondeal.Balancer.Outcome;
 import lemondeal.Balancer.Probe;
-import lemondeal.Balancer.ProbeResult;
 import lemondeal.Balancer.Refuse;
 import lemondeal.Balancer.Request;
 import lemondeal.Balancer.Send;
@@ -30,6 +29,7 @@
 import lemondeal.Balancer.Subscribe;
 import lemondeal.Balancer.Wake;
 import lemondeal.Balancer.WakeAfter;
+import lemondeal.lab.emulator.PendingRequest.Attempt;
 
 /**
  * A proxy in virtual time: hands a module of its own what happens and carries out what it decides, as the real proxy
@@ -37,48 +37,11 @@
  * its last list.
  */
 final class ProxyNode {
-  private static final int PROBE_WORK = 200;
-
-  /** A request from its arrival to its final answer, or the end of its connection. */
-  private static final class Pending {
-    private final Client client;
-    private final String id;
-    private final long due;
-    private final long arrived;
-    private int attempts;
-    private Attempt out;
-    private boolean answered;
-    private Connection connection;
-    private Agenda.Entry overdue;
-
-    Pending(Client client, String id, long due, long arrived) {
-      this.client = client;
-      this.id = id;
-      this.due = due;
-      this.arrived = arrived;
-    }
-  }
-
-  /** One attempt, until the module has been told how it ended. */
-  private static final class Attempt {
-    private final int number;
-    private final Server server;
-    private final long began;
-    private boolean over;
-    private Agenda.Entry timeout;
-    private Server.Cancel job;
-
-    Attempt(int number, Server server, long began) {
-      this.number = number;
-      this.server = server;
-      this.began = began;
-    }
-  }
-
   private final World world;
   private final int number;
   private final int zone;
-  private final Map<String, Pending> requests = new LinkedHashMap<>();
+  private final Probes probes;
+  private final Map<String, PendingRequest> requests = new LinkedHashMap<>();
   private final ArrayDeque<Event> waiting = new ArrayDeque<>();
   private final Map<String, Boolean> slow = new HashMap<>();
   private Balancer module;
@@ -92,6 +55,7 @@
     this.world = world;
     this.number = number;
     this.zone = zone;
+    probes = new Probes(world, this, this::tell);
   }
 
   int number() {
@@ -135,7 +99,7 @@
     life++;
     world.discovery().forget(this);
     world.agenda().after(world.scenario().front().late(), () -> looksAlive = alive);
-    for (Pending pending : List.copyOf(requests.values())) {
+    for (PendingRequest pending : List.copyOf(requests.values())) {
       stopWaiting(pending);
       if (pending.out != null) {
         abandon(pending.out);
@@ -202,7 +166,7 @@
     } else if (action instanceof CancelAttempt a) {
       cancel(a);
     } else if (action instanceof Probe a) {
-      probe(a.server());
+      probes.probe(a.server());
     } else if (action instanceof Subscribe a) {
       world.discovery().watch(this, a.on());
     } else if (action instanceof FetchList) {
@@ -218,20 +182,20 @@
       client.turnedAway(0);
       return;
     }
-    Pending pending = new Pending(client, id, due, world.agenda().now());
+    PendingRequest pending = new PendingRequest(client, id, due, world.agenda().now());
     requests.put(id, pending);
     pending.overdue = world.agenda().at(due + world.scenario().rules().answerSlack(), () -> overdue(pending));
     tell(new Arrived(new Request(id, due, client.classIndex(), client.key(),
         client.group() < 0 ? null : "g" + client.group(), Double.NaN, false, client.returned(), 0, client.isRetry())));
   }
 
-  private static void stopWaiting(Pending pending) {
+  private static void stopWaiting(PendingRequest pending) {
     if (pending.overdue != null) {
       pending.overdue.cancel();
     }
   }
 
-  private void overdue(Pending pending) {
+  private void overdue(PendingRequest pending) {
     if (!pending.answered) {
       pending.answered = true;
       world.checks().overdue(pending.id);
@@ -241,14 +205,14 @@
     }
   }
 
-  private void forgetIfDone(Pending pending) {
+  private void forgetIfDone(PendingRequest pending) {
     if (pending.answered && pending.out == null && pending.connection == null) {
       requests.remove(pending.id);
     }
   }
 
   private void answer(String id, long advice, String what) {
-    Pending pending = requests.get(id);
+    PendingRequest pending = requests.get(id);
     world.checks().answered(id, what);
     if (pending == null || pending.answered) {
       return;
@@ -261,7 +225,7 @@
   }
 
   private void send(Send a) {
-    Pending pending = requests.get(a.id());
+    PendingRequest pending = requests.get(a.id());
     Server server = world.server(a.server());
     world.checks().sent(a.id(), number, a.server(), server);
     if (pending == null || pending.answered || pending.out != null || server == null) {
@@ -280,7 +244,7 @@
   }
 
   /** The first line comes to its server. */
-  private void reaches(Pending pending, Attempt attempt) {
+  private void reaches(PendingRequest pending, Attempt attempt) {
     Server server = attempt.server;
     if (attempt.over) {
       return;
@@ -302,14 +266,14 @@
     }
   }
 
-  private void back(Pending pending, Attempt attempt, Outcome outcome) {
+  private void back(PendingRequest pending, Attempt attempt, Outcome outcome) {
     if (world.reaches(zone, attempt.server.zone())) {
       world.agenda().after(world.latency(zone, attempt.server.zone()), () -> ended(pending, attempt, outcome, null));
     }
   }
 
   /** The server has set the connection up; its {@code UP} is on its way. */
-  private void up(Pending pending, Attempt attempt) {
+  private void up(PendingRequest pending, Attempt attempt) {
     Server server = attempt.server;
     if (attempt.over || server.state() == Server.State.DEAD || server.state() == Server.State.HUNG) {
       return;
@@ -331,7 +295,7 @@
     });
   }
 
-  private void established(Pending pending, Attempt attempt, Connection made) {
+  private void established(PendingRequest pending, Attempt attempt, Connection made) {
     attempt.over = true;
     attempt.timeout.cancel();
     pending.out = null;
@@ -344,7 +308,7 @@
     pending.client.connected(made, world.agenda().now() - pending.arrived);
   }
 
-  private void ended(Pending pending, Attempt attempt, Outcome outcome, LoadReport report) {
+  private void ended(PendingRequest pending, Attempt attempt, Outcome outcome, LoadReport report) {
     if (attempt.over) {
       return;
     }
@@ -366,7 +330,7 @@
   }
 
   private void cancel(CancelAttempt a) {
-    Pending pending = requests.get(a.id());
+    PendingRequest pending = requests.get(a.id());
     if (pending != null && pending.out != null && pending.out.number == a.attempt()) {
       ended(pending, pending.out, Outcome.CANCELLED, null);
     }
@@ -375,7 +339,7 @@
   // ---- Standing connections ---------------------------------------------------------------------
 
   private void move(String id) {
-    Pending pending = requests.get(id);
+    PendingRequest pending = requests.get(id);
     world.checks().moved(id, pending != null && pending.connection != null);
     if (pending != null && pending.connection != null) {
       world.figures().moved(pending.client.classIndex());
@@ -386,7 +350,7 @@
 
   /** The client ends its connection: its life is over. */
   void clientEnds(Connection connection) {
-    Pending pending = requests.get(connection.request());
+    PendingRequest pending = requests.get(connection.request());
     if (pending != null && pending.connection == connection) {
       over(pending, Outcome.SERVED);
     }
@@ -394,7 +358,7 @@
 
   /** The server's side has ended: it died, or left after its drain. */
   void serverEnds(Connection connection, boolean politely) {
-    Pending pending = requests.get(connection.request());
+    PendingRequest pending = requests.get(connection.request());
     if (pending != null && pending.connection == connection) {
       over(pending, politely ? Outcome.CANCELLED : Outcome.RESET);
       world.figures().brokenOff(pending.client.classIndex(), politely);
@@ -402,7 +366,7 @@
     }
   }
 
-  private void over(Pending pending, Outcome outcome) {
+  private void over(PendingRequest pending, Outcome outcome) {
     Connection connection = pending.connection;
     pending.connection = null;
     connection.end();
@@ -410,7 +374,7 @@
     tell(new Ended(pending.id, connection.attempt(), connection.server().name(), outcome, 0, true, null));
   }
 
-  /** The word on how long a message takes at a server, once a second while it is long, and once when it is not any more. */
+  /** How long a message takes at a server, once a second while that is long, and once more when it is not. */
   void messages(Connection on, double millis, boolean late) {
     String server = on.server().name();
     if (alive && (late || slow.getOrDefault(server, false))) {
@@ -418,33 +382,4 @@
       tell(new MessageDelay(on.request(), on.attempt(), server, millis));
     }
   }
-
-  // ---- Probes -----------------------------------------------------------------------------------
-
-  private void probe(String name) {
-    Server server = world.server(name);
-    int at = life;
-    long began = world.agenda().now();
-    world.figures().probed();
-    if (server == null || !world.reaches(zone, server.zone()) || server.state() == Server.State.HUNG) {
-      world.agenda().after(Scenario.SECOND / 2, () -> probed(name, at, began, Outcome.TIMED_OUT, null));
-      return;
-    }
-    world.agenda().after(2 * world.latency(zone, server.zone()), () -> {
-      if (server.state() == Server.State.DEAD) {
-        probed(name, at, began, Outcome.NO_CONNECTION, null);
-      } else {
-        server.update();
-        server.setUp(PROBE_WORK, () -> { });
-        probed(name, at, began, Outcome.SERVED, new LoadReport(server.use(), server.backlogSeconds(), server.held(),
-            server.queued(), Math.min(1, server.use())));
-      }
-    });
-  }
-
-  private void probed(String server, int at, long began, Outcome outcome, LoadReport report) {
-    if (life == at) {
-      tell(new ProbeResult(server, outcome, world.agenda().now() - began, report));
-    }
-  }
 }
