Deal a cold server's budget out in turns alone, also where a share is under one call

Need: cold servers fall under the sum of what all processes send, and beyond their N calls only 2 x root of N + 2 are put down to chance, with any number of processes. Seen in a model of the fleet (real modules, virtual time, uneven traffic): 100 nodes, one cold server, a rush of clients of groups whose first server it is: 41 calls in one window where N is 15.1 (24.9 with chance), 39 with seven in ten nodes restarted in it. At fault: ColdAdmission.turns let each node use one send out of turn while it saw no rush by its own traffic (`spare`), which a hundred nodes with a trickle all did at once; the windows were cut at fixed times, so that two budgets met at a cut; and the budget rested on each node's own most held connections, which one just restarted lacks. Ruled out: the rush itself, since the same rush over the whole ranking stayed within the budget.

Change: a node gets its turns at a steady pace, by its number, so that the fleet's come one after another. They come as fast as a cold server fills (budget over multiple) and lapse after multiple - 1 windows, so that no window, wherever it is cut, sees more than the budget, and a node with little traffic still finds a use for one. Nothing is sent out of turn. A process that began after the server did uses no turn of before its own start: the one before it may have. The pace rests on what warm servers of the fleet say that they hold and how full they are, alike for all nodes; where none says so, on the node's own connections, which sum to what is held; it is never under one call a window for the fleet. Weights that follow load are no size. What counts: every send, also a repeat, one bound to its group, and one in mid-flow. Probes are not counted: one goes to a cold server only for a request whose turn it is, 0.3 s apart at least, and their work is a fraction of a set-up's.

Measured: ColdFleetTest, 2, 3, 20, 30 and 100 nodes, one or five cold servers, with and without reports, with restarts, a rush and a crowd over the whole warm-up: within N + 2 root N + 2 in every window, and with a floor on what they get (34 calls of the 27 that fill one, 100 nodes and a crowd). Red without the change.

--- a/proxy/src/main/java/lemondeal/module/Node.java
+++ b/proxy/src/main/java/lemondeal/module/Node.java
@@ -12,6 +12,7 @@
   SplittableRandom random;
   double shortestAimMillis;
   long now;
+  long beganAt;
   List<Action> out;
   final Map<String, Server> servers = new HashMap<>();
   Server[] fleet = new Server[0]; // those listed, by name: no choice rests on a map's order
@@ -22,6 +23,7 @@
 
   void start(Start event) {
     settings = event.settings();
+    beganAt = now;
     random = new SplittableRandom(event.seed());
     double shortest = Double.POSITIVE_INFINITY;
     for (RequestClass c : settings.classes()) {
--- a/proxy/src/main/java/lemondeal/module/Server.java
+++ b/proxy/src/main/java/lemondeal/module/Server.java
@@ -22,8 +22,8 @@
   long lossesSince = NEVER;
   long unansweredAt = NEVER; // when a line there last went unanswered
   long unreachedAt = NEVER; // when it last could not be reached
-  long coldWindow = -1;
-  int coldSends;
+  double turns; // of this node to send to it while it is cold, with the part of the next
+  long dealtAt = NEVER; // when they were last dealt
   double shed; // share of its clients that pass over it because it was hot, as of shedAt
   long shedAt = NEVER;
   long hotUntil = NEVER;
@@ -62,7 +62,7 @@
     passUntil = NEVER;
     errorShare = 0;
     probeOut = false;
-    coldWindow = -1;
+    dealtAt = NEVER;
     shed = 0;
   }
 }
