--- a/proxy/src/main/java/lemondeal/module/ColdAdmission.java
+++ b/proxy/src/main/java/lemondeal/module/ColdAdmission.java
@@ -38,34 +38,29 @@
     return age(s, node.now) < node.settings.rules().warmWithin();
   }
 
-  private double coldFrom() {
-    return Math.max(0.01, Math.min(1, node.settings.rules().coldFrom()));
-  }
-
   /** Share of its capacity that a cold server has for certain: grows evenly from the cold share to all. */
-  private double warmth(Server s) {
-    return coldFrom() + (1 - coldFrom()) * age(s, node.now) / node.settings.rules().warmWithin();
+  private double warmth(double age) {
+    double from = Math.max(0.01, Math.min(1, node.settings.rules().coldFrom()));
+    return from + (1 - from) * age / node.settings.rules().warmWithin();
   }
 
   /** That share added up since its start: the time in which it could have done as much, had it been warm. */
   private double warmTime(Server s, long at) {
-    double age = age(s, at);
-    return age * (coldFrom() + (1 - coldFrom()) * age / node.settings.rules().warmWithin() / 2);
+    return age(s, at) * warmth(age(s, at) / 2.0);
   }
 
   /** Slow start: of a server's keys, the share of clients that it has the capacity for by now. Cut by
    * client, not by a lower weight: a whole group of clients would push over what is still cold. */
   boolean slowStarts(Server s, Flow flow) {
-    return isCold(s) && flow.clientPoint(s) < 1 - warmth(s);
+    return isCold(s) && flow.clientPoint(s) < 1 - warmth(age(s, node.now));
   }
 
   /** Whether this node may send to the server now without eating into the other nodes' turns. */
   boolean admits(Server s) {
-    if (!isCold(s)) {
-      return true;
+    if (isCold(s)) {
+      deal(s);
     }
-    deal(s);
-    return s.turns >= 1;
+    return !isCold(s) || s.turns >= 1;
   }
 
   /** Adds the turns that came since the last look. They come as fast as a cold server fills, which is a part
@@ -76,7 +71,7 @@
     double windows = Math.max(WINDOWS_LEAST, rules.fallMultiple());
     double share = Math.max(rules.fallMultiple() * intake(s), 1.0 / Math.max(1, rules.overloadFor()))
         / windows / Math.max(1, node.settings.nodes());
-    double lasting = share * warmth(s) * (windows - 1) * rules.overloadFor();
+    double lasting = share * warmth(age(s, node.now)) * (windows - 1) * rules.overloadFor();
     if (s.dealtAt == Node.NEVER) {
       s.turns = place(s) + lasting + share * warmTime(s, node.now);
       // What came before this process began was perhaps used by the one before it.
--- a/proxy/src/main/java/lemondeal/module/Health.java
+++ b/proxy/src/main/java/lemondeal/module/Health.java
@@ -1,5 +1,6 @@
 package lemondeal.module;
 
+import java.util.Arrays;
 import lemondeal.Balancer.Outcome;
 
 /** Which servers fail, and for how long they are passed over. */
@@ -16,12 +17,7 @@
   /** Whether all ready servers are passed over: then the fault is not theirs. One that works proves that the
    * others don't: with half as the limit, attempts were spent on dead ones beside sound ones with room. */
   boolean commonFault() {
-    for (Server s : node.fleet) {
-      if (s.works(node.now)) {
-        return false;
-      }
-    }
-    return true;
+    return Arrays.stream(node.fleet).noneMatch(s -> s.works(node.now));
   }
 
   private void strike(Server s, long first, String why) {
--- a/proxy/src/main/java/lemondeal/module/Load.java
+++ b/proxy/src/main/java/lemondeal/module/Load.java
@@ -57,10 +57,9 @@
     return Math.max(s.lateUntil, reported);
   }
 
-  /** What weights tell of a server's size: nothing where there are none, or where they follow its load. */
+  /** What weights tell of a server's size: nothing where they follow its load. */
   double size(Server s) {
-    WeightMeaning meaning = node.settings.weights();
-    return meaning == WeightMeaning.NONE || meaning == WeightMeaning.LIVE ? 1 : s.weight;
+    return node.settings.weights() == WeightMeaning.LIVE ? 1 : s.weight;
   }
 
   /** Connections for each unit of size that fill a warm server, by their own reports; 0 where none told. */
--- a/proxy/src/main/java/lemondeal/module/Ranking.java
+++ b/proxy/src/main/java/lemondeal/module/Ranking.java
@@ -1,5 +1,6 @@
 package lemondeal.module;
 
+import java.util.Arrays;
 import lemondeal.Balancer.ServerState;
 
 /** The order in which a request tries the servers. */
@@ -73,12 +74,7 @@
   /** Whether the overload is over for a group turned away: no server is hot, and one has room by its own
    * word, for which it may be asked. The share falls slowly: clients were refused beside free servers. */
   boolean findsRoom(Flow flow) {
-    for (Server s : node.fleet) {
-      if (node.now < s.hotUntil) {
-        return false;
-      }
-    }
-    Server s = choose(flow);
+    Server s = Arrays.stream(node.fleet).anyMatch(hot -> node.now < hot.hotUntil) ? null : choose(flow);
     return s != null && node.now >= s.passUntil && !overfull(s, flow)
         && (load.reportHolds(s) || (flow.probes == 0 && load.worthProbing(s, flow)));
   }
--- a/proxy/src/main/java/lemondeal/module/Requests.java
+++ b/proxy/src/main/java/lemondeal/module/Requests.java
@@ -155,9 +155,7 @@
     load.reported(s, event.report());
     List<Flow> awaiting = List.copyOf(s.awaiting);
     s.awaiting.clear();
-    for (Flow flow : awaiting) {
-      proceedIfWaiting(flow);
-    }
+    awaiting.forEach(this::proceedIfWaiting);
   }
 
   void clientGone(String id) {
--- a/proxy/src/main/java/lemondeal/module/Shedding.java
+++ b/proxy/src/main/java/lemondeal/module/Shedding.java
@@ -21,10 +21,7 @@
   }
 
   private double shed(Server s) {
-    if (node.now <= s.hotUntil) {
-      return s.shed;
-    }
-    long cool = node.now - Math.max(s.shedAt, s.hotUntil);
+    long cool = Math.max(0, node.now - Math.max(s.shedAt, s.hotUntil));
     return s.shed * StrictMath.pow(0.5, (double) cool / SHED_HALF_LIFE);
   }
 
