Let a repeat's attempt end with its window, so that a slow dial does not carry it past

Need: a keyed request that may have run may be sent again only within its window, and on sockets an attempt counts when its last byte comes. At fault: Flow.mayRepeat answered for the moment of the choice alone, and Setups.timeout knew nothing of the window. Ruled out: a repeat that waits (no place, probe, set-ups), which is asked again at its send; and a window counted from an attempt that never ran, which does not bind.

Change: Flow says for how long a server may still get the next attempt; the attempt's time-out ends with that.

--- a/proxy/src/main/java/lemondeal/module/Flow.java
+++ b/proxy/src/main/java/lemondeal/module/Flow.java
@@ -47,10 +47,10 @@
     return type == null ? Effect.UNSAFE : type.effect();
   }
 
-  /** Guards the rule that no effect happens twice. */
-  boolean mayRepeat(long now) {
-    return !mayHaveRun || effect() == Effect.SAFE
-        || (effect() == Effect.KEYED && now - boundAt < type.repeatWindow());
+  /** Guards the rule that no effect happens twice: for how long a server may still get the next attempt. */
+  long mayRepeatFor(long now) {
+    return !mayHaveRun || effect() == Effect.SAFE ? Long.MAX_VALUE
+        : effect() == Effect.KEYED ? boundAt + type.repeatWindow() - now : 0;
   }
 
   /** A refusal promises that trying again is harmless. */
--- a/proxy/src/main/java/lemondeal/module/Requests.java
+++ b/proxy/src/main/java/lemondeal/module/Requests.java
@@ -35,7 +35,7 @@
     long left = flow.request.due() - node.now;
     if (left <= ANSWER_LEAD
         || (groups.turnedAway(flow) && !flow.request.midFlow() && !ranking.findsRoom(flow))
-        || flow.tried.size() >= node.settings.limits().maxAttempts() || !flow.mayRepeat(node.now)
+        || flow.tried.size() >= node.settings.limits().maxAttempts() || flow.mayRepeatFor(node.now) <= 0
         || left < setups.expected(flow)) {
       giveUp(flow);
       return;
--- a/proxy/src/main/java/lemondeal/module/Setups.java
+++ b/proxy/src/main/java/lemondeal/module/Setups.java
@@ -85,10 +85,13 @@
     return Math.min(present * fade, flow.type.deadline() * SETUP_MOST);
   }
 
-  /** Leaves time for a fallback, but not little: set-ups given up early stay in queues and keep them full. */
+  /** Leaves time for a fallback, but not little: set-ups given up early stay in queues and keep them full. A
+   * repeat has until its window ends: its dial may be slow, and what reaches the server later counts anew. */
   long timeout(Flow flow, long left) {
     boolean last = flow.tried.size() >= node.settings.limits().maxAttempts();
-    return last || flow.type == null || left <= 2 * flow.type.aim() || left * PATIENCE < expected(flow)
-        ? 0 : (long) (left * PATIENCE);
+    boolean all = last || flow.type == null || left <= 2 * flow.type.aim()
+        || left * PATIENCE < expected(flow);
+    long window = flow.mayRepeatFor(node.now);
+    return all && window >= left ? 0 : (long) Math.min(window, all ? left : left * PATIENCE);
   }
 }
--- a/proxy/src/test/java/lemondeal/Node.java
+++ b/proxy/src/test/java/lemondeal/Node.java
@@ -54,15 +54,17 @@
     int attempts = 4;
     long seed = 7;
     double secondClassWorth;
+    long repeatWindow = 2 * SECOND;
+    boolean cancels = true;
 
     Settings settings() {
-      RequestClass c = new RequestClass(effect, scope, 2 * SECOND, SECOND / 2, 3 * SECOND, 1, 100_000);
-      RequestClass dear = new RequestClass(effect, scope, 2 * SECOND, SECOND / 2, 3 * SECOND,
+      RequestClass c = new RequestClass(effect, scope, repeatWindow, SECOND / 2, 3 * SECOND, 1, 100_000);
+      RequestClass dear = new RequestClass(effect, scope, repeatWindow, SECOND / 2, 3 * SECOND,
           secondClassWorth, 100_000);
       List<RequestClass> classes = secondClassWorth > 0 ? List.of(c, dear) : List.of(c);
       return new Settings(node, nodes, 0, classes, List.of(),
           new Rules(20_000, SECOND, 3, 2 * SECOND, 0.2, 10 * SECOND, asks ? 10 * SECOND : 0),
-          new Limits(attempts, true, probes, peers, false, true, SECOND, 100_000),
+          new Limits(attempts, cancels, probes, peers, false, true, SECOND, 100_000),
           new Prices(0.01, 0.1, 0.002, 0.01, 0.02), WeightMeaning.NOMINAL, asks, groups, false, probes,
           false, 0.1);
     }
