Bind the repeats of a connection that was open before to its server, as of one sent

Seen: an adopted connection's end that leaves an answer owed ended in a NullPointerException for a keyed class whose repeats are dropped by a zone or cell (Flow.repeatsDropped reads the server that binds), where the clock stands below the class's window. At fault: Requests.adopted marked the attempt as out and set neither the server nor the time that bind. Today's adapter and proxy tell such an end as over, so the module alone could meet it. Change: Flow.sent keeps all that an attempt changes, for both. RepeatCrossingsTest.anAdoptedConnectionBindsItsRepeats, red without it (the exception).

--- a/proxy/src/main/java/lemondeal/module/Flow.java
+++ b/proxy/src/main/java/lemondeal/module/Flow.java
@@ -33,6 +33,17 @@
     this.clientHash = hash(request.key() != null ? request.key() : request.id());
   }
 
+  /** An attempt begins there, or began before this node did. */
+  void sent(Server s, long now) {
+    tried.add(s);
+    s.ownLoad += load;
+    outstanding = true;
+    if (!mayHaveRun) {
+      bound = s;
+      boundAt = now;
+    }
+  }
+
   /** The server of its latest attempt. */
   Server server() {
     return tried.get(tried.size() - 1);
--- a/proxy/src/main/java/lemondeal/module/Requests.java
+++ b/proxy/src/main/java/lemondeal/module/Requests.java
@@ -17,9 +17,7 @@
 
   void adopted(Adopted event) {
     Flow flow = new Flow(event.request(), node.settings);
-    flow.tried.add(node.server(event.server()));
-    flow.server().ownLoad += flow.load;
-    flow.outstanding = true;
+    flow.sent(node.server(event.server()), node.now);
     opened(flow);
     node.flows.put(event.request().id(), flow);
   }
@@ -73,15 +71,9 @@
   private void send(Flow flow, Server s, long left) {
     cold.sent(s);
     zoneAdmission.sent(s);
-    flow.tried.add(s);
     s.sentSince++;
-    s.ownLoad += flow.load;
-    flow.outstanding = true;
+    flow.sent(s, node.now);
     setups.started();
-    if (!flow.mayHaveRun) {
-      flow.bound = s;
-      flow.boundAt = node.now;
-    }
     node.out.add(new Send(flow.request.id(), s.name, setups.timeout(flow, left)));
   }
 
--- a/proxy/src/test/java/lemondeal/RepeatCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/RepeatCrossingsTest.java
@@ -185,6 +185,16 @@
     }
   }
 
+  /** The connection that a client had before counts as its first attempt: it binds as one that was sent. */
+  @Test
+  void anAdoptedConnectionBindsItsRepeats() {
+    Node.With with = with(Effect.KEYED, RepeatScope.CELL);
+    with.repeatWindow = 2_000 * Node.SECOND;
+    Node node = new Node(with).full(Node.server("c0a", 0, 0), Node.server("c0b", 0, 0), Node.server("c1a", 0, 1));
+    node.take(new Adopted(node.request("r", "r", null), "c0a"));
+    assertEquals("c0b", Node.sentTo(node.end("r", 0, "c0a", Outcome.RESET), "r"));
+  }
+
   @Test
   void aServerThatBeginsToDrainWhileItsProbeIsOutIsNotSentTo() {
     Node.With with = new Node.With();
