Let only a waiting request's newest wake-up count, and none be another request's

Seen in the module: a waiting request that was looked at again for any reason (a probe's answer, its turn in the queue of set-ups) set a further wake-up each time while the earlier ones stood, and each of these looked again and set the next: 20 looks a second for one that looks each 0.1 s after one probe, one more for each answer and each turn that comes. In an overload, where hundreds wait and set-ups end all the time, that is processor time when there is least of it. And a wake-up knew its request by id alone: one that had the id anew was looked at by the old one's. Further, a second word on an attempt whose repeat waits counted as the end of the repeat. At fault: Requests.hold, wake, and ended, which took any outcome for the one that is out; Node.held, ids by token. Ruled out: an entry per gone request that stays, since each goes with its wake-up, 0.1 s later at most.

Change: wake-ups know their flow, a flow its newest wake-up; an outcome with no attempt out belongs to nobody. RepeatCrossingsTest: awaitedWakeUpsDoNotAddUp (20 where 11 may be), aNewRequestOfTheSameIdInheritsNoWakeUp, aSecondOutcomeWhileTheRepeatWaitsChanges- Nothing; each red without it.

--- a/proxy/src/main/java/lemondeal/module/Flow.java
+++ b/proxy/src/main/java/lemondeal/module/Flow.java
@@ -20,6 +20,7 @@
   boolean mayHaveRun;
   int probes;
   boolean queued;
+  long wake; // token of its newest wake-up
   boolean moving;
   boolean gone; // the client has left; only the outcome of the attempt that is out is awaited
 
--- a/proxy/src/main/java/lemondeal/module/Node.java
+++ b/proxy/src/main/java/lemondeal/module/Node.java
@@ -18,7 +18,7 @@
   Server[] fleet = new Server[0]; // those listed, by name: no choice rests on a map's order
   int zones; // that the listed servers are in
   final Map<String, Flow> flows = new LinkedHashMap<>();
-  final Map<Long, String> held = new HashMap<>(); // ids of those that wait, by token of the wake-up
+  final Map<Long, Flow> held = new HashMap<>(); // those that wait, by token of the wake-up
   long nextToken = 16; // smaller ones are for other things
 
   void start(Start event) {
--- a/proxy/src/main/java/lemondeal/module/Requests.java
+++ b/proxy/src/main/java/lemondeal/module/Requests.java
@@ -63,7 +63,7 @@
   }
 
   private void proceedIfWaiting(Flow flow) {
-    if (flow != null && !flow.outstanding && !flow.gone && node.flows.get(flow.request.id()) == flow) {
+    if (!flow.outstanding && node.flows.get(flow.request.id()) == flow) {
       proceed(flow);
     }
   }
@@ -78,9 +78,9 @@
   }
 
   private void hold(Flow flow, long left) {
-    long token = node.nextToken++;
-    node.held.put(token, flow.request.id());
-    node.out.add(new WakeAfter(Math.max(1, Math.min(HOLD, left - ANSWER_LEAD)), token));
+    flow.wake = node.nextToken++;
+    node.held.put(flow.wake, flow);
+    node.out.add(new WakeAfter(Math.max(1, Math.min(HOLD, left - ANSWER_LEAD)), flow.wake));
   }
 
   private void giveUp(Flow flow) {
@@ -120,15 +120,15 @@
     } else if (s != null && event.outcome() == Outcome.RESET) {
       health.connectionLost(s);
     }
-    if (flow == null) {
+    if (flow == null || !flow.outstanding) {
       return;
     }
-    if (flow.outstanding) {
-      flow.server().ownLoad -= flow.load;
-    }
+    flow.outstanding = false;
+    flow.server().ownLoad -= flow.load;
     if (wasEstablished) {
       flow.server().open.remove(flow);
       cold.opened(-1);
+      flow.established = false;
     } else {
       setups.failed(event.outcome(), event.elapsed());
     }
@@ -136,7 +136,6 @@
       node.flows.remove(event.id());
       return;
     }
-    flow.outstanding = false;
     flow.mayHaveRun |= event.outcome().mayHaveRun;
     proceed(flow);
   }
@@ -162,9 +161,12 @@
     }
   }
 
+  /** Only the newest wake-up of a request counts: each look sets one, and they would add up. */
   void wake(long token) {
-    String id = node.held.remove(token);
-    proceedIfWaiting(id == null ? null : node.flows.get(id));
+    Flow flow = node.held.remove(token);
+    if (flow != null && flow.wake == token) {
+      proceedIfWaiting(flow);
+    }
   }
 
   /** Goes on with those that wait for a set-up, as far as may start by now. */
--- a/proxy/src/test/java/lemondeal/RepeatCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/RepeatCrossingsTest.java
@@ -185,6 +185,18 @@
     }
   }
 
+  /** A second word on an attempt whose repeat waits belongs to nobody: it is no end of the repeat. */
+  @Test
+  void aSecondOutcomeWhileTheRepeatWaitsChangesNothing() {
+    Node node = new Node();
+    String first = otherIsLate(node);
+    assertEquals(1, Node.only(node.end("r", 0, first, Outcome.RESET), WakeAfter.class).size());
+    for (Outcome outcome : Outcome.values()) {
+      assertEquals(List.of(), Node.only(node.end("r", 0, first, outcome), WakeAfter.class), outcome.toString());
+    }
+    assertNotNull(Node.sentTo(node.pass(2_500_000), "r"), "it is sent once a place comes free");
+  }
+
   /** The connection that a client had before counts as its first attempt: it binds as one that was sent. */
   @Test
   void anAdoptedConnectionBindsItsRepeats() {
@@ -317,4 +329,26 @@
     staysGone(node, "r");
   }
 
+  /** Old wake-ups know the request that set them, not one that has its id now. */
+  @Test
+  void aNewRequestOfTheSameIdInheritsNoWakeUp() {
+    Node node = new Node();
+    WakeAfter old = Node.only(node.take(new Arrived(node.request("r", "r", null))), WakeAfter.class).get(0);
+    node.take(new ClientGone("r"));
+    node.take(new Arrived(node.request("r", "r", null)));
+    assertEquals(List.of(), node.take(new Wake(old.token())));
+  }
+
+  /** Each look at a waiting request set one more wake-up, each of which looked again: they added up. */
+  @Test
+  void awaitedWakeUpsDoNotAddUp() {
+    Node.With with = new Node.With();
+    with.probes = true;
+    Node node = new Node(with).fleet(1);
+    node.take(new Arrived(node.request("r", "r", null)));
+    node.take(new ProbeResult("s0", Outcome.SERVED, 1_000, report(1.2)));
+    node.pass(200_000);
+    int wakes = Node.only(node.pass(Node.SECOND), WakeAfter.class).size();
+    assertTrue(wakes <= 11, wakes + " wake-ups in a second for one that looks each 0.1 s");
+  }
 }
