Keep nothing of a client that has gone, whichever way its request was waiting

Seen in the module: of 100 requests that waited for a set-up and whose clients left, or whose time was up, 100 stood in the queue of set-ups until set-ups were let out again, which in an overload is when clients leave most; and a client that was told as gone just after its connection came up left its place in Server.open, its load and the count of open connections behind for good (it was moved again by each shedding, and counted in every share). At fault: Requests.giveUp and clientGone, which took the request out of Node.flows alone, and clientGone, which forgot a connection that is up although its end still comes. Ruled out: a request of a gone client that is sent on; all who wait are looked up by identity, in each order of the two events.

Change: one way to forget a request that waits; one whose attempt is out, up or not, stays until that ends and is never repeated. LeaversTest, and RepeatCrossingsTest.whoLeavesAsItsConnectionComesUpIsForgottenOnceThatEnds: red without it.

--- a/proxy/src/main/java/lemondeal/module/Requests.java
+++ b/proxy/src/main/java/lemondeal/module/Requests.java
@@ -85,10 +85,15 @@
 
   private void giveUp(Flow flow) {
     String id = flow.request.id();
-    node.flows.remove(id);
+    forget(flow);
     node.out.add(flow.mayRefuse() ? new Refuse(id, retryAfter(flow)) : new Fail(id));
   }
 
+  private void forget(Flow flow) {
+    node.flows.remove(flow.request.id());
+    setups.queue.remove(flow);
+  }
+
   /** When coming again makes sense: the client is told, rather than held so that it does not come. */
   private long retryAfter(Flow flow) {
     Limits limits = node.settings.limits();
@@ -151,13 +156,13 @@
 
   void clientGone(String id) {
     Flow flow = node.flows.get(id);
-    if (flow == null || !flow.outstanding || flow.established) {
-      node.flows.remove(id);
-      return;
-    }
-    flow.gone = true;
-    if (node.settings.limits().mayCancel()) {
-      node.out.add(new CancelAttempt(id, flow.tried.size() - 1));
+    if (flow != null && !flow.outstanding) {
+      forget(flow);
+    } else if (flow != null) {
+      flow.gone = true;
+      if (node.settings.limits().mayCancel() && !flow.established) {
+        node.out.add(new CancelAttempt(id, flow.tried.size() - 1));
+      }
     }
   }
 
--- a/proxy/src/test/java/lemondeal/RepeatCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/RepeatCrossingsTest.java
@@ -329,6 +329,23 @@
     staysGone(node, "r");
   }
 
+  /** The connection was just up: its client's place at the server was held for ever, and counted in all shares. */
+  @Test
+  void whoLeavesAsItsConnectionComesUpIsForgottenOnceThatEnds() {
+    Node node = new Node().fleet(5);
+    String server = null;
+    for (int i = 0; i < 40; i++) {
+      String id = "gone" + i;
+      server = node.open(id, id, "g");
+      node.take(new ClientGone(id));
+      node.take(new Ended(id, 0, server, Outcome.CANCELLED, 5_000, true, null));
+    }
+    node.open("r", "r", "g");
+    for (Balancer.Move move : Node.only(node.late("r", server, 2_000), Balancer.Move.class)) {
+      assertEquals("r", move.id(), "moved who had gone");
+    }
+  }
+
   /** Old wake-ups know the request that set them, not one that has its id now. */
   @Test
   void aNewRequestOfTheSameIdInheritsNoWakeUp() {
