Let a server whose pause is over take one set-up, and more as they succeed

Need: a server whose pause is over gets a few tries, not everybody. At fault: Ranking.choose looked at passUntil alone, so a server was passed over or whole. Ruled out: a longer pause, which leaves out those that are back as well.

Change: half-open, as circuit breakers are. A failure leaves a server one trial, which counts as passed over once it is given out; word that it was served lets in 2, 4, 8, 16 and then all, a failure begins anew after its pause, and an end that says nothing gives the trial back. Rank is not bent: beyond the trials it is passed over as in its pause, still last in every ranking, and with all servers passed over the plain ranking holds. DeparturesTest: aServerWhosePauseIsOverGetsOneTryAtATimeAndThenMore and aTryThatFailsLeavesTheServerOneTryAtATime, red without it; withAllServersTriedOutNobodyIsHeld.

--- a/proxy/src/main/java/lemondeal/module/Health.java
+++ b/proxy/src/main/java/lemondeal/module/Health.java
@@ -8,6 +8,7 @@
   private static final long EJECT_FIRST = 1_000_000; // first pass-over; doubles with each further failure
   private static final long REFUSED_FIRST = 250_000; // the same after a refusal: it lives and is full now
   private static final int EJECT_DOUBLINGS = 4; // to 16 s, near the longest that lists take to notice death
+  private static final int TRIALS_MOST = 16; // let in after a pause at once; one success more lets all in
   private static final double ERROR_GAIN = 0.25; // weight of the newest set-up: about four count
   private static final double ERROR_HIGH = 0.3; // share from which one success does not clear it
   private static final long UNANSWERED_FOR = 3_000_000; // about the time between two lines of a client
@@ -20,10 +21,17 @@
     return Arrays.stream(node.fleet).noneMatch(s -> s.works(node.now));
   }
 
+  /** Passed over, or half-open: once its pause is over a server gets one set-up until one succeeds, and then
+   * twice as many each time. All of its keys once came back at once, to time out together. */
+  boolean struck(Server s) {
+    return node.now < s.passUntil || s.trials <= 0;
+  }
+
   private void strike(Server s, long first, String why) {
     long pause = first << Math.min(s.strikes, EJECT_DOUBLINGS);
     s.passUntil = Math.max(s.passUntil, node.now + pause);
     s.strikes++;
+    s.trials = s.trialsNext = 1;
     node.log(s, "passed over " + pause / 1000 + " ms: " + why + ", strike " + s.strikes);
   }
 
@@ -37,7 +45,7 @@
         strike(s, EJECT_FIRST, "answers with errors");
       }
       case SERVED -> succeeded(s);
-      default -> { }
+      default -> s.trials = Math.max(1, s.trials); // it says nothing: another may try
     }
   }
 
@@ -47,6 +55,7 @@
     s.errorShare -= ERROR_GAIN * s.errorShare;
     s.strikes = s.errorShare > ERROR_HIGH ? s.strikes / 2 : 0;
     s.passUntil = s.strikes == 0 ? Node.NEVER : s.passUntil;
+    s.trials = s.trialsNext = s.trialsNext < TRIALS_MOST ? 2 * s.trialsNext : Integer.MAX_VALUE;
   }
 
   void probed(Server s, Outcome outcome) {
--- a/proxy/src/main/java/lemondeal/module/Ranking.java
+++ b/proxy/src/main/java/lemondeal/module/Ranking.java
@@ -21,7 +21,7 @@
       if (!usable(s, flow) || (!midFlow && node.now < load.overLimitUntil(s))) {
         continue;
       }
-      boolean struck = !common && node.now < s.passUntil;
+      boolean struck = !common && health.struck(s);
       boolean passed = midFlow ? shedding.sheds(s, flow) : struck || overfull(s, flow);
       if (best != null && passed && !bestPassed) {
         continue;
@@ -75,7 +75,7 @@
    * word, for which it may be asked. The share falls slowly: clients were refused beside free servers. */
   boolean findsRoom(Flow flow) {
     Server s = Arrays.stream(node.fleet).anyMatch(hot -> node.now < hot.hotUntil) ? null : choose(flow);
-    return s != null && node.now >= s.passUntil && !overfull(s, flow)
+    return s != null && !health.struck(s) && !overfull(s, flow)
         && (load.reportHolds(s) || (flow.probes == 0 && load.worthProbing(s, flow)));
   }
 
@@ -84,7 +84,7 @@
     boolean common = health.commonFault();
     int avoided = 0;
     for (Server s : node.fleet) {
-      boolean passed = (!common && node.now < s.passUntil) || node.now < load.overLimitUntil(s)
+      boolean passed = (!common && health.struck(s)) || node.now < load.overLimitUntil(s)
           || load.full(s) || load.stalls(s);
       avoided += s.state != ServerState.READY || passed ? 1 : 0;
     }
--- a/proxy/src/main/java/lemondeal/module/Requests.java
+++ b/proxy/src/main/java/lemondeal/module/Requests.java
@@ -72,6 +72,7 @@
     cold.sent(s);
     zoneAdmission.sent(s);
     s.sentSince++;
+    s.trials--;
     flow.sent(s, node.now);
     setups.started();
     node.out.add(new Send(flow.request.id(), s.name, setups.timeout(flow, left)));
--- a/proxy/src/main/java/lemondeal/module/Server.java
+++ b/proxy/src/main/java/lemondeal/module/Server.java
@@ -17,6 +17,8 @@
   long startedAt;
   int strikes;
   long passUntil = NEVER;
+  int trials = Integer.MAX_VALUE; // set-ups let in before word of one comes back; after a failure few
+  int trialsNext = trials; // let in after that
   double errorShare;
   int losses;
   long lossesSince = NEVER;
@@ -60,6 +62,7 @@
     this.startedAt = startedAt;
     strikes = 0;
     passUntil = NEVER;
+    trials = trialsNext = Integer.MAX_VALUE;
     errorShare = 0;
     probeOut = false;
     dealtAt = NEVER;
--- a/proxy/src/test/java/lemondeal/DeparturesTest.java
+++ b/proxy/src/test/java/lemondeal/DeparturesTest.java
@@ -160,6 +160,64 @@
     assertNotEquals(primary, node.arrive("y", "c", "g"));
   }
 
+  /** A set-up of the group g fails at its first server, whose pause passes; the server is returned. */
+  private static String pausedAndBack(Node node) {
+    String server = node.arrive("a", "c", "g");
+    String next = Node.sentTo(node.end("a", 0, server, Outcome.TIMED_OUT), "a");
+    node.take(new Balancer.Established("a", 1, next, 5_000));
+    node.pass(1_100_000);
+    return server;
+  }
+
+  /** When its pause was over, all of a server's keys came back at once, and timed out there together. */
+  @Test
+  void aServerWhosePauseIsOverGetsOneTryAtATimeAndThenMore() {
+    Node node = new Node().fleet(3);
+    String server = pausedAndBack(node);
+    int arrived = 0;
+    // A try more is let in once those before have succeeded: 1, 2 and 4 at once.
+    for (int tries : new int[] {1, 2, 4}) {
+      for (int i = 0; i < tries; i++) {
+        assertEquals(server, node.arrive("b" + (arrived + i), "c", "g"), "try " + i + " of " + tries);
+      }
+      String other = node.open("o" + arrived, "c", "g");
+      assertNotNull(other, "those beyond are not held");
+      assertNotEquals(server, other, "no more than " + tries + " at once");
+      node.take(new Balancer.Established("b" + arrived, 0, server, 5_000));
+      for (int i = 1; i < tries; i++) {
+        // They leave no word on the server: the one success counts.
+        node.take(new Ended("b" + (arrived + i), 0, server, Outcome.CANCELLED, 1, true, null));
+      }
+      arrived += tries;
+    }
+  }
+
+  @Test
+  void aTryThatFailsLeavesTheServerOneTryAtATime() {
+    Node node = new Node().fleet(3);
+    String server = pausedAndBack(node);
+    assertEquals(server, node.arrive("b", "c", "g"));
+    node.end("b", 0, server, Outcome.TIMED_OUT);
+    node.pass(2_100_000);
+    assertEquals(server, node.arrive("d", "c", "g"));
+    assertNotEquals(server, node.open("e", "c", "g"));
+  }
+
+  /** With no server but such ones, requests beyond the tries still go by rank: a common fault strands nobody. */
+  @Test
+  void withAllServersTriedOutNobodyIsHeld() {
+    Node node = new Node().fleet(2);
+    for (int i = 0; i < 2; i++) {
+      String first = node.arrive("f" + i, "c" + i, "h" + i);
+      String second = Node.sentTo(node.end("f" + i, 0, first, Outcome.NO_CONNECTION), "f" + i);
+      node.end("f" + i, 1, second, Outcome.NO_CONNECTION);
+    }
+    node.pass(20 * Node.SECOND);
+    for (int i = 0; i < 4; i++) {
+      assertNotNull(node.arrive("r" + i, "d" + i, "k" + i));
+    }
+  }
+
   // ---- Bounded load
 
   /** Opens 200 clients of one group at one server, which is returned, and others so that all servers have some. */
