Show that a process that has just begun uses no turn of before its start

Need: the part of ColdAdmission that drops these turns could be taken out with all tests green. ColdFleetTest.aProcessThatHasJust- BegunHasNoTurn is red without it (a call in the first moment); nodesThatRestartAgainAndAgainKeepToTheBudget plays six restarts of all nodes in the first window of a rush.

--- a/proxy/src/test/java/lemondeal/module/ColdFleetTest.java
+++ b/proxy/src/test/java/lemondeal/module/ColdFleetTest.java
@@ -1,5 +1,6 @@
 package lemondeal.module;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -249,15 +250,14 @@
   }
 
   /** A day on which cold servers start; the rush comes so many times, once a second, beside the usual traffic. */
-  private static World played(int nodes, int cold, boolean probes, int rushes, double restarted) {
+  private static World played(int nodes, int cold, boolean probes, int rushes, double restarted, long... restarts) {
     World world = new World(nodes, nodes < 10 ? 6 : 20, probes, nodes * 100L + cold);
     world.at(STARTED, () -> world.coldServers(cold));
     for (int r = 0; r < rushes; r++) {
       world.at(STARTED + r * SECOND, () -> world.rush(1.0 / rushes));
     }
-    // A part of the nodes restarts, once in the middle of the first rush and once after it.
-    for (long when : new long[] {STARTED + 700_000, STARTED + 3 * SECOND}) {
-      world.at(when, () -> {
+    for (long after : restarts) {
+      world.at(STARTED + after, () -> {
         for (int n = 0; n < (int) (nodes * restarted); n++) {
           world.restart(n);
         }
@@ -267,11 +267,12 @@
     return world;
   }
 
+  /** A part of the nodes restarts, once in the middle of the first rush and once after it. */
   private static List<World> keepTheBudget(int rushes, double restarted, boolean probes) {
     List<World> worlds = new ArrayList<>();
     for (int nodes : FLEETS) {
       for (int cold : new int[] {1, 5}) {
-        World world = played(nodes, cold, probes, rushes, restarted);
+        World world = played(nodes, cold, probes, rushes, restarted, 700_000, 3 * SECOND);
         world.checkBudget(name(nodes, cold, probes));
         worlds.add(world);
       }
@@ -291,6 +292,28 @@
     keepTheBudget(1, 0.7, false);
   }
 
+  /** The one before it may have used up the turns of before its start. */
+  @Test
+  void aProcessThatHasJustBegunHasNoTurn() {
+    World world = new World(3, 1, false, 7);
+    world.now = STARTED;
+    world.startedAt.put("cold0", STARTED - 8 * SECOND);
+    world.startedAt.remove("warm0");
+    for (int n = 0; n < 3; n++) {
+      world.restart(n);
+      world.arrive(n, "g");
+    }
+    assertEquals(List.of(), world.sentTo("cold0"));
+  }
+
+  @Test
+  void nodesThatRestartAgainAndAgainKeepToTheBudget() {
+    for (int nodes : FLEETS) {
+      World world = played(nodes, 1, true, 1, 1, 300_000, 600_000, 900_000, 1_200_000, 1_500_000, 1_800_000);
+      world.checkBudget(name(nodes, 1, true) + ", all restart six times");
+    }
+  }
+
   /** A crowd that wants in over all of the warm-up fills the servers about as fast as they can be filled. */
   @Test
   void aCrowdThatGoesOnKeepsToTheBudgetAndGetsItsShare() {
