--- a/proxy/src/main/java/lemondeal/module/Flow.java
+++ b/proxy/src/main/java/lemondeal/module/Flow.java
@@ -20,6 +20,7 @@
   boolean mayHaveRun;
   int probes;
   boolean queued;
+  long wake; // token of its newest wake-up
   boolean moving;
   boolean gone; // the client has left; only the outcome of the attempt that is out is awaited
 
@@ -33,6 +34,17 @@
     this.clientHash = hash(request.key() != null ? request.key() : request.id());
   }
 
+  /** An attempt begins there, or began before this node did. */
+  void sent(Server s, long now) {
+    tried.add(s);
+    s.ownLoad += load;
+    outstanding = true;
+    if (!mayHaveRun) {
+      bound = s;
+      boundAt = now;
+    }
+  }
+
   /** The server of its latest attempt. */
   Server server() {
     return tried.get(tried.size() - 1);
@@ -47,10 +59,10 @@
     return type == null ? Effect.UNSAFE : type.effect();
   }
 
-  /** Guards the rule that no effect happens twice. */
-  boolean mayRepeat(long now) {
-    return !mayHaveRun || effect() == Effect.SAFE
-        || (effect() == Effect.KEYED && now - boundAt < type.repeatWindow());
+  /** Guards the rule that no effect happens twice: for how long a server may still get the next attempt. */
+  long mayRepeatFor(long now) {
+    return !mayHaveRun || effect() == Effect.SAFE ? Long.MAX_VALUE
+        : effect() == Effect.KEYED ? boundAt + type.repeatWindow() - now : 0;
   }
 
   /** A refusal promises that trying again is harmless. */
--- a/proxy/src/main/java/lemondeal/module/Requests.java
+++ b/proxy/src/main/java/lemondeal/module/Requests.java
@@ -17,9 +17,7 @@
 
   void adopted(Adopted event) {
     Flow flow = new Flow(event.request(), node.settings);
-    flow.tried.add(node.server(event.server()));
-    flow.server().ownLoad += flow.load;
-    flow.outstanding = true;
+    flow.sent(node.server(event.server()), node.now);
     opened(flow);
     node.flows.put(event.request().id(), flow);
   }
@@ -35,7 +33,7 @@
     long left = flow.request.due() - node.now;
     if (left <= ANSWER_LEAD
         || (groups.turnedAway(flow) && !flow.request.midFlow() && !ranking.findsRoom(flow))
-        || flow.tried.size() >= node.settings.limits().maxAttempts() || !flow.mayRepeat(node.now)
+        || flow.tried.size() >= node.settings.limits().maxAttempts() || flow.mayRepeatFor(node.now) <= 0
         || left < setups.expected(flow)) {
       giveUp(flow);
       return;
@@ -65,7 +63,7 @@
   }
 
   private void proceedIfWaiting(Flow flow) {
-    if (flow != null && !flow.outstanding && !flow.gone && node.flows.get(flow.request.id()) == flow) {
+    if (!flow.outstanding && node.flows.get(flow.request.id()) == flow) {
       proceed(flow);
     }
   }
@@ -73,30 +71,30 @@
   private void send(Flow flow, Server s, long left) {
     cold.sent(s);
     zoneAdmission.sent(s);
-    flow.tried.add(s);
     s.sentSince++;
-    s.ownLoad += flow.load;
-    flow.outstanding = true;
+    s.trials--;
+    flow.sent(s, node.now);
     setups.started();
-    if (!flow.mayHaveRun) {
-      flow.bound = s;
-      flow.boundAt = node.now;
-    }
     node.out.add(new Send(flow.request.id(), s.name, setups.timeout(flow, left)));
   }
 
   private void hold(Flow flow, long left) {
-    long token = node.nextToken++;
-    node.held.put(token, flow.request.id());
-    node.out.add(new WakeAfter(Math.max(1, Math.min(HOLD, left - ANSWER_LEAD)), token));
+    flow.wake = node.nextToken++;
+    node.held.put(flow.wake, flow);
+    node.out.add(new WakeAfter(Math.max(1, Math.min(HOLD, left - ANSWER_LEAD)), flow.wake));
   }
 
   private void giveUp(Flow flow) {
     String id = flow.request.id();
-    node.flows.remove(id);
+    forget(flow);
     node.out.add(flow.mayRefuse() ? new Refuse(id, retryAfter(flow)) : new Fail(id));
   }
 
+  private void forget(Flow flow) {
+    node.flows.remove(flow.request.id());
+    setups.queue.remove(flow);
+  }
+
   /** When coming again makes sense: the client is told, rather than held so that it does not come. */
   private long retryAfter(Flow flow) {
     Limits limits = node.settings.limits();
@@ -128,15 +126,15 @@
     } else if (s != null && event.outcome() == Outcome.RESET) {
       health.connectionLost(s);
     }
-    if (flow == null) {
+    if (flow == null || !flow.outstanding) {
       return;
     }
-    if (flow.outstanding) {
-      flow.server().ownLoad -= flow.load;
-    }
+    flow.outstanding = false;
+    flow.server().ownLoad -= flow.load;
     if (wasEstablished) {
       flow.server().open.remove(flow);
       cold.opened(-1);
+      flow.established = false;
     } else {
       setups.failed(event.outcome(), event.elapsed());
     }
@@ -144,7 +142,6 @@
       node.flows.remove(event.id());
       return;
     }
-    flow.outstanding = false;
     flow.mayHaveRun |= event.outcome().mayHaveRun;
     proceed(flow);
   }
@@ -155,26 +152,27 @@
     load.reported(s, event.report());
     List<Flow> awaiting = List.copyOf(s.awaiting);
     s.awaiting.clear();
-    for (Flow flow : awaiting) {
-      proceedIfWaiting(flow);
-    }
+    awaiting.forEach(this::proceedIfWaiting);
   }
 
   void clientGone(String id) {
     Flow flow = node.flows.get(id);
-    if (flow == null || !flow.outstanding || flow.established) {
-      node.flows.remove(id);
-      return;
-    }
-    flow.gone = true;
-    if (node.settings.limits().mayCancel()) {
-      node.out.add(new CancelAttempt(id, flow.tried.size() - 1));
+    if (flow != null && !flow.outstanding) {
+      forget(flow);
+    } else if (flow != null) {
+      flow.gone = true;
+      if (node.settings.limits().mayCancel() && !flow.established) {
+        node.out.add(new CancelAttempt(id, flow.tried.size() - 1));
+      }
     }
   }
 
+  /** Only the newest wake-up of a request counts: each look sets one, and they would add up. */
   void wake(long token) {
-    String id = node.held.remove(token);
-    proceedIfWaiting(id == null ? null : node.flows.get(id));
+    Flow flow = node.held.remove(token);
+    if (flow != null && flow.wake == token) {
+      proceedIfWaiting(flow);
+    }
   }
 
   /** Goes on with those that wait for a set-up, as far as may start by now. */
--- a/proxy/src/main/java/lemondeal/module/Server.java
+++ b/proxy/src/main/java/lemondeal/module/Server.java
@@ -17,13 +17,15 @@
   long startedAt;
   int strikes;
   long passUntil = NEVER;
+  int trials = Integer.MAX_VALUE; // set-ups let in before word of one comes back; after a failure few
+  int trialsNext = trials; // let in after that
   double errorShare;
   int losses;
   long lossesSince = NEVER;
   long unansweredAt = NEVER; // when a line there last went unanswered
   long unreachedAt = NEVER; // when it last could not be reached
-  long coldWindow = -1;
-  int coldSends;
+  double turns; // of this node to send to it while it is cold, with the part of the next
+  long dealtAt = NEVER; // when they were last dealt
   double shed; // share of its clients that pass over it because it was hot, as of shedAt
   long shedAt = NEVER;
   long hotUntil = NEVER;
@@ -60,9 +62,10 @@
     this.startedAt = startedAt;
     strikes = 0;
     passUntil = NEVER;
+    trials = trialsNext = Integer.MAX_VALUE;
     errorShare = 0;
     probeOut = false;
-    coldWindow = -1;
+    dealtAt = NEVER;
     shed = 0;
   }
 }
