Count every change as told 6 s after discovery had it, whatever calls failed

Need: a change counts at the latest 6 s after discovery had it and could be reached; the fourfold asking time after a failed call excuses nobody any more. Earlier limits stay where they are earlier.

ListClock.toldAt took heldUntil alone (calledAt + 4 x askEvery after a failed call: 40 s with the usual 10) where lists are asked for, and forgot a silence once the next call was out. Now the least of the old limits and latest(): 6 s after the change or after discovery's last return, and for what went by before the start from the first moment on, the stricter reading. A new configuration ends an outage: that the discovery before was down says nothing of the one named now. goodUntil and askAt follow.

askAt: where lists are asked for the pause was a quarter of what was left, up to 15 s after a failed call; now a fifth of 6 s at most. Where they are pushed it was the same 0.02 to 0.6 s each time, for as long as discovery was overrun; now it begins with 40 ms in the mean and doubles, up to a fifth of the grace (0.6 s at most), so that three of the longest fit into the grace. A watch that ends behind its first line does not begin the pauses anew. Without a grace in the settings there is still a pause.

--- a/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
+++ b/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
@@ -20,6 +20,8 @@
   private static final long LINE_LATE = 600 * MILLI;
   /** What a silent watch or call misses counts as told so long after it fell silent. */
   private static final long MISSED = 6 * SECOND;
+  /** Whatever else holds, and whatever failed: a change counts so long after discovery had it and could be reached. */
+  private static final long LATEST = 6 * SECOND;
   /** The same after a call that may wait, counted from the end of its wait. */
   private static final long MISSED_AFTER_WAIT = 2 * SECOND;
   /** Discovery works through calls one after another: a call without a byte of an answer is given up after this. */
@@ -28,11 +30,11 @@
   private static final long AFTER_RELOAD = 4 * SECOND;
   /** A failed call lengthens the time for which the list held is the one that counts. */
   private static final int FAILED_FACTOR = 4;
-  /** So many calls fit into the time within which an answer has to come. */
-  private static final int CALLS_IN_TIME = 4;
-  /** Bounds of the pause between two calls; the longest is that where lists are pushed. */
-  private static final long CALL_PAUSE_LEAST = 40 * MILLI;
-  private static final long CALL_PAUSE_MOST = 400 * MILLI;
+  /** So many mean pauses, and three of the longest, fit into the time within which an answer has to come. */
+  private static final int CALLS_IN_TIME = 5;
+  /** Where lists are pushed: the mean pause after the first failed call, which doubles, and the longest it comes to. */
+  private static final long CALL_PAUSE_FIRST = 40 * MILLI;
+  private static final long CALL_PAUSE_MOST = 600 * MILLI;
 
   /**
    * How lists come and what the rules allow.
@@ -46,6 +48,7 @@
   public record Settings(boolean pushed, long askEvery, long drainGrace, long slack, long callWait) {}
 
   private final Settings settings;
+  private final long startedAt;
   /** Whether a watch is open, or a call out that may wait: until it ends, only its silence tells that it is broken. */
   private boolean open;
   /** Whether what is out has brought anything yet. */
@@ -56,17 +59,21 @@
   private long silentSince = NEVER;
   private long calledAt;
   private boolean callFailed;
+  private int failures;
   /** The change that may have been missed first; NEVER while the watch is sound. */
   private long blindSince;
   private boolean down;
   /** Before this nothing new counts: the process's start, discovery's return, a while after a new configuration. */
   private long countsFrom;
+  /** From when on discovery could be reached: from before the start, unless it was seen to return. */
+  private long reachableSince = -NEVER;
 
-  /** A process that starts at {@code now} with the list that it was given. */
+  /** A process that starts at {@code now} with the list that it was given, which may be of any age. */
   public ListClock(Settings settings, long now) {
     this.settings = settings;
+    startedAt = now;
     calledAt = now;
-    blindSince = now;
+    blindSince = now - LATEST;
     countsFrom = now;
   }
 
@@ -81,9 +88,11 @@
     open = settings.callWait() > 0;
   }
 
-  /** Something came on a watch, be it an empty line; the first time opens it. */
+  /** Something came on a watch, be it an empty one; the first opens it. */
   public void heard(long now) {
     back(now);
+    // One that ends behind its first line, time and again, is no better than one that brings none.
+    failures = answered ? 0 : failures;
     open = true;
     answered = true;
     heardAt = now;
@@ -113,6 +122,7 @@
       blindSince = Math.min(blindSince, heardAt);
     }
     callFailed = !answered;
+    failures++;
     open = false;
     answered = false;
     heardAt = NEVER;
@@ -124,10 +134,11 @@
     down = true;
   }
 
-  /** Discovery is there again. */
+  /** Discovery is there again: a connection to it stands, whatever it answers. */
   public void back(long now) {
     if (down) {
       down = false;
+      reachableSince = now;
       countsFrom = Math.max(countsFrom, now);
       calledAt = Math.max(calledAt, now);
       callFailed = false;
@@ -136,6 +147,8 @@
 
   /** A new configuration counts from {@code now}: discovery may be elsewhere. */
   public void reconfigured(long now) {
+    down = false;
+    failures = 0;
     countsFrom = now + AFTER_RELOAD;
   }
 
@@ -162,15 +175,25 @@
     if (down) {
       return NEVER;
     }
+    return Math.min(earlierToldAt(changed), latest(changed));
+  }
+
+  /** By the limits that differ with how lists come and with what happened to the calls. */
+  private long earlierToldAt(long changed) {
     long counts = Math.max(changed, countsFrom);
     if (open && changed < heardAt) {
       return counts;
     }
-    long silent = heardAt != NEVER ? heardAt : silentSince;
+    long silent = Math.min(heardAt, silentSince);
     long missed = changed < silent ? NEVER : Math.max(counts, missedBy(silent));
     return open ? missed : Math.min(missed, settings.pushed() ? counts : Math.max(countsFrom, heldUntil(changed)));
   }
 
+  /** By the limit that excuses nobody, not before this process began. */
+  private long latest(long changed) {
+    return Math.max(startedAt, Math.max(changed, reachableSince) + LATEST);
+  }
+
   /** A proxy that asks and has no watch is held to the list that it has, and then to the one from so long before. */
   private long heldUntil(long changed) {
     long held = settings.askEvery() * (callFailed ? FAILED_FACTOR : 1);
@@ -194,9 +217,10 @@
   }
 
   /**
-   * When discovery has to be asked next. With a sound watch, or a call out, not before that is broken. Without one,
-   * soon and steadily where lists are pushed, since what the agent has counts already; where they are asked for, within
-   * a share of the time that the list held is good for, so that a few calls may fail.
+   * When discovery has to be asked next. With a sound watch, or a call out, not before that is broken. Where lists are
+   * pushed, soon, since what the agent has counts already, after pauses that grow. Where they are asked for, the pauses
+   * are whoever asks' to choose, and this is when it has waited too long; the shorter what is held is still good for, the
+   * sooner, but no sooner than where lists are pushed, nor in any hurry when that is over.
    *
    * @param draw a random number in [0, 1): proxies whose watches ended together must not come back together
    */
@@ -204,9 +228,18 @@
     if (heardAt != NEVER) {
       return Math.max(now, brokenAt());
     }
-    long good = goodUntil(now);
-    long time = settings.pushed() ? Math.min(CALL_PAUSE_MOST * CALLS_IN_TIME, settings.drainGrace())
-        : good == NEVER ? settings.askEvery() : good - now;
-    return now + (long) (Math.max(CALL_PAUSE_LEAST, time / CALLS_IN_TIME) * (0.5 + draw));
+    long pause = settings.pushed() ? pushedPause() : timeToAsk(now) / CALLS_IN_TIME;
+    return now + (long) (Math.max(CALL_PAUSE_FIRST, pause) * (0.5 + draw));
+  }
+
+  private long pushedPause() {
+    long grown = CALL_PAUSE_FIRST << Math.min(Math.max(0, failures - 1), 10);
+    return Math.min(grown, Math.min(CALL_PAUSE_MOST, settings.drainGrace() / CALLS_IN_TIME));
+  }
+
+  private long timeToAsk(long now) {
+    long most = Math.min(settings.askEvery(), LATEST);
+    long left = goodUntil(now) - now;
+    return left <= 0 ? most : Math.min(most, Math.max(settings.drainGrace(), left));
   }
 }
--- a/proxy/src/test/java/lemondeal/discovery/clock/ListClockTest.java
+++ b/proxy/src/test/java/lemondeal/discovery/clock/ListClockTest.java
@@ -16,7 +16,8 @@
 
   private static ListClock clock(String lists) {
     long wait = lists.startsWith("waits ") ? micros(lists.substring(6)) : 0;
-    return new ListClock(new ListClock.Settings(lists.equals("pushed"), ASK_EVERY, GRACE, SLACK, wait), 0);
+    long askEvery = lists.startsWith("asked ") ? micros(lists.substring(6)) : ASK_EVERY;
+    return new ListClock(new ListClock.Settings(lists.equals("pushed"), askEvery, GRACE, SLACK, wait), 0);
   }
 
   private static long micros(String seconds) {
@@ -60,20 +61,56 @@
     assertEquals(ListClock.NEVER, after("asked", "0:call 0.1:line").goodUntil(1_000_000), "a sound watch misses nothing");
     assertEquals(100_000 + 6_000_000 + GRACE + SLACK, after("asked", "0:call 0.1:line").goodUntil(3_000_000));
     assertEquals(GRACE + SLACK, after("pushed", null).goodUntil(0), "a new process has not looked yet");
+    assertEquals(GRACE + SLACK, after("asked", null).goodUntil(0), "nor has one that asks");
+    assertEquals(13_000_000 + 6_000_000 + GRACE + SLACK,
+        after("asked", "0:call 0.1:line 4:line 5:down 13:back 13.1:call 14:fail").goodUntil(14_000_000), "whatever failed");
     assertEquals(5_000_000 + GRACE + SLACK, after("pushed", "0:call 0.1:line 5:down 5:back 5:fail").goodUntil(5_000_000));
   }
 
-  /** A few calls may fail before the list held is no good any more, whatever the draw. */
+  /** Three calls fit before the list held is no good any more, whatever the draw: two of them may fail. */
   @Test
-  void asksSoonEnoughForAFewCallsToFail() {
+  void asksSoonEnoughForTwoCallsToFail() {
     for (double draw : new double[] {0, 0.999}) {
-      ListClock pushed = after("pushed", "0:call 0.1:line 2:fail");
-      assertTrue(pushed.askAt(2_000_000, draw) <= 2_000_000 + GRACE / 2, "what the agent has counts already");
+      ListClock pushed = after("pushed", "0:call 0.1:line 2:fail 2.1:call 2.2:fail 2.3:call 2.4:fail 2.5:call 2.6:fail");
+      assertTrue(3 * (pushed.askAt(2_600_000, draw) - 2_600_000) < GRACE, "what the agent has counts already");
       ListClock silent = after("asked", "0:call 0.1:line 2.1:line 4.7:fail");
-      assertTrue(silent.askAt(4_700_000, draw) <= 2_100_000 + 6_000_000, "before what was missed counts");
+      assertTrue(2_600_000 + 3 * (silent.askAt(4_700_000, draw) - 4_700_000) < 6_000_000 + GRACE, "a silent watch");
       ListClock out = after("asked", "0:call 0.1:line 5:down");
-      assertTrue(out.askAt(20_000_000, draw) <= 20_000_000 + ASK_EVERY / 2, "however long the outage");
+      assertTrue(3 * (out.askAt(20_000_000, draw) - 20_000_000) < 6_000_000, "however long the outage");
       assertEquals(2_700_000, after("asked", "0:call 0.1:line").askAt(1_000_000, draw), "a sound watch is left alone");
     }
   }
+
+  /** The same pause each time brings all proxies to a discovery that is overrun for as long as it is. */
+  @Test
+  void pausesGrowWherePushedListsAreAskedForInVain() {
+    ListClock clock = after("pushed", "0:call 0.1:line 2.1:line 3:fail");
+    long first = clock.askAt(3_000_000, 0.5) - 3_000_000;
+    clock.called(3_100_000);
+    clock.failed(3_200_000);
+    assertEquals(2 * first, clock.askAt(3_200_000, 0.5) - 3_200_000);
+    for (int i = 0; i < 100; i++) {
+      clock.failed(4_000_000);
+    }
+    assertEquals(GRACE / 5, clock.askAt(4_000_000, 0.5) - 4_000_000, "but not past what the grace leaves room for");
+    clock.heard(5_000_000);
+    clock.failed(5_100_000);
+    assertEquals(GRACE / 5, clock.askAt(5_100_000, 0.5) - 5_100_000, "a watch of one line is no better than none");
+    clock.called(6_000_000);
+    clock.heard(6_100_000);
+    clock.heard(8_100_000);
+    clock.failed(8_200_000);
+    assertEquals(first, clock.askAt(8_200_000, 0.5) - 8_200_000, "one that lasted is");
+  }
+
+  /** Settings without a grace must not make a busy loop of it. */
+  @Test
+  void thereIsAlwaysAPauseBetweenTwoCalls() {
+    for (boolean pushed : new boolean[] {true, false}) {
+      ListClock clock = new ListClock(new ListClock.Settings(pushed, 0, 0, SLACK, 0), 0);
+      clock.called(0);
+      clock.failed(1_000);
+      assertTrue(clock.askAt(1_000, 0) >= 1_000 + 20_000);
+    }
+  }
 }
