Bound the pauses of a process that asks so that no change is missed for 6 s

Need: a change counts 6 s after discovery had it and could be reached, and discovery is to be reached in its first second back. Membership backed off to 4 s in the mean, up to 6 s by the draw (ASK_BACKOFF_MOST); its first call was spread over up to 4 s of the start (ASK_SPREAD_MOST), though all that went by before the start may count at once; a call without any answer was made again only after half of the asking time, however long that is.

Now pauses begin with 0.3 s in the mean and double to 0.6 s, each times a draw of 0.5 to 1.5: three of the longest take 2.7 s, one call given up after 3.5 s between two of them 5.4 s. The first call comes within half of the grace; one without an answer is made again within 5 s. In a model that works through a hundred callers one after another at 25 a second, with calls failing after 2 s in the queue, all have their list within 6 s of the return, and fewer calls cost it nothing.

--- a/proxy/src/main/java/lemondeal/module/Membership.java
+++ b/proxy/src/main/java/lemondeal/module/Membership.java
@@ -5,10 +5,10 @@
 
 /** Takes the servers' list, and asks for it where it does not come unasked. */
 final class Membership {
-  private static final long ASK_SPREAD_PER_NODE = 40_000; // of first calls, for each node of the tier
-  private static final long ASK_SPREAD_MOST = 4_000_000;
-  private static final long ASK_BACKOFF = 500_000; // first pause after a failed call; doubles
-  private static final long ASK_BACKOFF_MOST = 4_000_000;
+  private static final long ASK_SPREAD_PER_NODE = 10_000; // of first calls, for each node of the tier
+  private static final long ASK_BACKOFF = 300_000; // mean of the first pause after a failed call; doubles
+  private static final long ASK_BACKOFF_MOST = 600_000; // so that discovery is called in its first second back
+  private static final long ASK_AGAIN_MOST = 5_000_000; // before what was missed counts, 6 s after it was made
   static final long TOKEN_ASK = 0;
 
   private final Node node;
@@ -23,7 +23,8 @@
 
   void start() {
     if (node.settings.mustAskForList()) {
-      long spread = Math.min(ASK_SPREAD_MOST, ASK_SPREAD_PER_NODE * node.settings.nodes());
+      // All that went by before the start may count at once: the list has to be there within the grace.
+      long spread = Math.min(node.settings.rules().drainGrace() / 2, ASK_SPREAD_PER_NODE * node.settings.nodes());
       askAt(1 + node.random.nextLong(Math.max(1, spread)));
     }
   }
@@ -34,7 +35,7 @@
     }
     node.out.add(new Subscribe(true));
     // Should no answer come at all, the call is made again before the node counts as not asking.
-    askAt(node.settings.rules().askEvery() / 2);
+    askAt(Math.min(node.settings.rules().askEvery() / 2, ASK_AGAIN_MOST));
   }
 
   private void askAt(long pause) {
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/module/MembershipTest.java
@@ -0,0 +1,187 @@
+package lemondeal.module;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Effect;
+import lemondeal.Balancer.Event;
+import lemondeal.Balancer.Limits;
+import lemondeal.Balancer.ListKind;
+import lemondeal.Balancer.Prices;
+import lemondeal.Balancer.RepeatScope;
+import lemondeal.Balancer.RequestClass;
+import lemondeal.Balancer.Rules;
+import lemondeal.Balancer.ServerList;
+import lemondeal.Balancer.Settings;
+import lemondeal.Balancer.Start;
+import lemondeal.Balancer.Subscribe;
+import lemondeal.Balancer.Wake;
+import lemondeal.Balancer.WakeAfter;
+import lemondeal.Balancer.WeightMeaning;
+import lemondeal.discovery.ModelledDiscovery;
+import lemondeal.discovery.ModelledDiscovery.Reply;
+import org.junit.jupiter.api.Test;
+
+/** When the module asks for lists: soon enough that no change is missed, and not so often that discovery is overrun. */
+class MembershipTest {
+  private static final long SECOND = 1_000_000;
+  /** A change counts so long after discovery had it and could be reached. */
+  private static final long LATEST = 6 * SECOND;
+  private static final long GRACE = SECOND;
+  private static final int NODES = 100;
+  private static final long PATIENCE = 2 * SECOND;
+
+  private static Settings settings(long askEvery) {
+    RequestClass c = new RequestClass(Effect.SAFE, RepeatScope.ALL, 2 * SECOND, SECOND / 2, 3 * SECOND, 1, 100_000);
+    return new Settings(0, NODES, 0, List.of(c), List.of(), new Rules(20_000, GRACE, 3, 2 * SECOND, 0.2, 10 * SECOND,
+        askEvery), new Limits(4, true, false, false, false, true, SECOND, 100_000),
+        new Prices(0.01, 0.1, 0.002, 0.01, 0.02), WeightMeaning.NOMINAL, true, false, false, false, false, 0.1);
+  }
+
+  /** One process that asks for its list. */
+  private static final class Process {
+    private final ModelledDiscovery discovery;
+    private final Logic logic = new Logic();
+    /** Calls that fail before one is answered. */
+    private int toFail;
+    private boolean deaf;
+    private long calledAt = -1;
+    private long listedAt = -1;
+
+    Process(ModelledDiscovery discovery, long seed) {
+      this(discovery, seed, 10 * SECOND);
+    }
+
+    Process(ModelledDiscovery discovery, long seed, long askEvery) {
+      this.discovery = discovery;
+      take(new Start(seed, settings(askEvery)));
+      take(new ServerList(1, ListKind.SAVED, List.of()));
+    }
+
+    void take(Event event) {
+      for (Action action : logic.on(discovery.now(), event)) {
+        if (action instanceof WakeAfter a) {
+          discovery.after(a.delay(), () -> take(new Wake(a.token())));
+        } else if (action instanceof Subscribe) {
+          calledAt = calledAt < 0 ? discovery.now() : calledAt;
+          discovery.call(this::answered);
+        }
+      }
+    }
+
+    private void answered(Reply reply) {
+      boolean fails = reply != Reply.LIST || toFail-- > 0;
+      if (!fails) {
+        listedAt = discovery.now();
+      }
+      if (!deaf) {
+        take(new ServerList(2, fails ? ListKind.FAILED : ListKind.FULL, List.of()));
+      }
+    }
+
+    /** The watch ends; from now on calls and lists are counted anew once {@link #look} is called. */
+    void watchEnds() {
+      listedAt = -1;
+      take(new ServerList(2, ListKind.FAILED, List.of()));
+    }
+
+    void look() {
+      calledAt = -1;
+    }
+  }
+
+  private static List<Process> processes(ModelledDiscovery discovery) {
+    List<Process> all = new ArrayList<>();
+    for (int i = 0; i < NODES; i++) {
+      all.add(new Process(discovery, 1_000 + i));
+    }
+    return all;
+  }
+
+  /** All that went by before its start may count to a process at once, and its sends then end by the grace. */
+  @Test
+  void aProcessAsksWithinHalfOfTheGraceOfItsStart() {
+    ModelledDiscovery discovery = new ModelledDiscovery(1_000, PATIENCE);
+    for (Process process : processes(discovery)) {
+      discovery.runTo(discovery.now() + GRACE / 2 + 2_000);
+      assertTrue(process.listedAt >= 0, "no list within the grace");
+    }
+    assertEquals(NODES, discovery.calls.size());
+  }
+
+  /** They once called over four seconds, and those at the end had been held to an old list for as long. */
+  @Test
+  void aHundredThatStartTogetherAllHaveTheirListWithinSixSeconds() {
+    ModelledDiscovery discovery = new ModelledDiscovery(40_000, PATIENCE);
+    List<Process> all = processes(discovery);
+    discovery.runTo(LATEST);
+    assertEquals(0, all.stream().filter(process -> process.listedAt < 0).count());
+    assertTrue(discovery.mostInASecond() <= 2 * NODES, discovery.mostInASecond() + " calls in a second");
+  }
+
+  @Test
+  void aHundredHaveTheirListWithinSixSecondsOfDiscoverysReturn() {
+    ModelledDiscovery discovery = new ModelledDiscovery(40_000, PATIENCE);
+    List<Process> all = processes(discovery);
+    discovery.runTo(20 * SECOND);
+    discovery.goDown();
+    all.forEach(Process::watchEnds);
+    discovery.runTo(28 * SECOND);
+    discovery.comeBack();
+    all.forEach(Process::look);
+    discovery.runTo(29 * SECOND);
+    assertEquals(0, all.stream().filter(process -> process.calledAt < 0).count(), "not called in its first second back");
+    discovery.runTo(28 * SECOND + LATEST);
+    assertEquals(0, all.stream().filter(process -> process.listedAt < 0).count(), "without a list");
+    assertTrue(discovery.mostInASecond() <= 3 * NODES, discovery.mostInASecond() + " calls in a second");
+  }
+
+  /** Also where two more calls of each fail. */
+  @Test
+  void twoFailedCallsAtTheReturnLeaveTimeForAThird() {
+    ModelledDiscovery discovery = new ModelledDiscovery(1_000, PATIENCE);
+    List<Process> all = processes(discovery);
+    discovery.runTo(20 * SECOND);
+    discovery.goDown();
+    all.forEach(Process::watchEnds);
+    discovery.runTo(28 * SECOND);
+    discovery.comeBack();
+    all.forEach(process -> process.toFail = 2);
+    // Three of the longest pauses and the calls' turns.
+    discovery.runTo(28 * SECOND + LATEST / 2);
+    assertEquals(0, all.stream().filter(process -> process.listedAt < 0).count());
+  }
+
+  /** However long the settings let a process go without asking. */
+  @Test
+  void aCallThatIsNeverAnsweredIsMadeAgainBeforeWhatItMissesCounts() {
+    ModelledDiscovery discovery = new ModelledDiscovery(1_000, PATIENCE);
+    Process process = new Process(discovery, 1, 60 * SECOND);
+    process.deaf = true;
+    discovery.runTo(GRACE / 2);
+    assertEquals(1, discovery.calls.size());
+    discovery.runTo(discovery.calls.get(0) + LATEST);
+    assertEquals(2, discovery.calls.size());
+  }
+
+  /** Pauses that did not grow would bring all to a discovery that turns them away, time and again. */
+  @Test
+  void pausesGrowAndAreDrawn() {
+    ModelledDiscovery discovery = new ModelledDiscovery(1_000, PATIENCE);
+    discovery.goDown();
+    List<Process> all = processes(discovery);
+    discovery.runTo(SECOND);
+    final int first = discovery.calls.size();
+    discovery.runTo(60 * SECOND);
+    int before = discovery.calls.size();
+    discovery.runTo(61 * SECOND);
+    int later = discovery.calls.size() - before;
+    assertTrue(later < first && later <= 2 * NODES, first + " calls in the first second, " + later + " later");
+    long apart = discovery.calls.subList(before, discovery.calls.size()).stream().distinct().count();
+    assertTrue(apart > later * 9 / 10, "calls must not come together");
+    assertEquals(NODES, all.size());
+  }
+}
