Let no older list undo a newer one, and a list that can't be read fail its call alone

HostGroup.take took whatever came last: an answer to GET /api/targets that was asked for before a drain and came after the watch had told it brought the server back, and a watch's line from before such an answer did the same. Now a call knows the version that it goes on from; what is older than what another call has told since is passed over.

Discovery.listed caught what can't be read and ended the watch, also where a call beside it had brought it: the sound watch went. It is the call's own failure now.

Measured: HostGroupTest (three of seven red without the checks); ListCrossingsTest has the same on connections: anOlderWholeList..., anOlderChange..., changesFromBefore..., aBrokenWholeList..., each seen red without.

--- a/proxy/src/main/java/lemondeal/discovery/Call.java
+++ b/proxy/src/main/java/lemondeal/discovery/Call.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Map;
-import java.util.function.Consumer;
 import lemondeal.codec.HttpParser;
 import lemondeal.codec.Json;
 import lemondeal.codec.ObjectLines;
@@ -17,6 +16,18 @@
 
 /** One call to discovery, for a watch or for the whole list. Ends once: by failure, or with its last line. */
 final class Call implements Link.Owner, HttpParser.Sink {
+
+  /** Takes the lists that a call brings. */
+  interface Told {
+    /**
+     * @param list empty for a watch that has nothing new to say at first
+     * @param since the version that the call goes on from
+     * @return the version that it goes on from now
+     * @throws ProtocolException if the list can't be read: the call has failed then
+     */
+    long listed(Map<String, Object> list, long since) throws ProtocolException;
+  }
+
   private static final int OK = 200;
 
   private final Timers timers;
@@ -24,29 +35,31 @@
   private final ListClock clock;
   private final String path;
   private final boolean watch;
-  private final Consumer<Map<String, Object>> listed;
+  private final Told told;
   private final Runnable failed;
   private final HttpParser parser;
   private final ObjectLines objects;
   private Dial dial;
   private Link link;
   private Timers.Timer silence;
+  private long since;
   private boolean answered;
   private boolean over;
 
   /**
    * @param clock is told when this call hears anything, and says when it has been silent for too long
-   * @param listed is told each list or change; an empty one for a watch that has nothing new to say at first
+   * @param since the version held as the call is made
    * @param failed is told once, if the call ends without answer or a watch ends at all
    */
-  Call(Timers timers, Limits limits, ListClock clock, String path, boolean watch, Consumer<Map<String, Object>> listed,
+  Call(Timers timers, Limits limits, ListClock clock, String path, boolean watch, long since, Told told,
       Runnable failed) {
     this.timers = timers;
     this.limits = limits;
     this.clock = clock;
     this.path = path;
     this.watch = watch;
-    this.listed = listed;
+    this.since = since;
+    this.told = told;
     this.failed = failed;
     parser = new HttpParser(limits.listLineBytes(), this);
     objects = new ObjectLines(limits.listLineBytes());
@@ -176,9 +189,9 @@
     }
   }
 
-  private void tell(Map<String, Object> list) {
+  private void tell(Map<String, Object> list) throws ProtocolException {
     answered = true;
-    listed.accept(list);
+    since = told.listed(list, since);
   }
 
   @Override
--- a/proxy/src/main/java/lemondeal/discovery/Discovery.java
+++ b/proxy/src/main/java/lemondeal/discovery/Discovery.java
@@ -168,24 +168,22 @@
 
   private Call call(boolean isWatch) {
     String path = isWatch ? LIST + "?stream=1&index=" + group.generation() : LIST;
-    Call call = new Call(timers, limits, isWatch ? clock : clock(), path, isWatch, this::listed,
+    Call call = new Call(timers, limits, isWatch ? clock : clock(), path, isWatch, group.generation(), this::listed,
         isWatch ? this::watchFailed : this::failed);
     call.start(net, address);
     return call;
   }
 
-  private void listed(Map<String, Object> list) {
-    try {
-      ServerList news = group.update(list);
-      ServerList known = heldBack;
-      heldBack = null;
-      told.accept(known != null && news.kind() == ListKind.CHANGES ? HostGroup.over(known, news) : news);
-    } catch (ProtocolException e) {
-      // A list that can't be read: what is held stays, and a new watch begins with all that was missed.
-      end();
-      clock.failed(timers.now());
-      watchFailed();
+  /** A list that can't be read fails its call alone: what is held stays, and the next watch begins with all missed. */
+  private long listed(Map<String, Object> list, long since) throws ProtocolException {
+    ServerList news = group.update(list, since);
+    if (news == null) {
+      return since;
     }
+    ServerList known = heldBack;
+    heldBack = null;
+    told.accept(known != null && news.kind() == ListKind.CHANGES ? HostGroup.over(known, news) : news);
+    return group.generation();
   }
 
   private void failed() {
--- a/proxy/src/main/java/lemondeal/discovery/HostGroup.java
+++ b/proxy/src/main/java/lemondeal/discovery/HostGroup.java
@@ -73,18 +73,33 @@
   }
 
   /**
-   * Takes in a list or a line of changes, whichever it says it is.
+   * Takes in a list or a line of changes, whichever it says it is. An older list must not undo what a newer one told: two
+   * calls may be answered in either order. Yet discovery may count its versions anew, after a restart of its own, and then
+   * tells the whole list.
    *
-   * @throws ProtocolException if it can't be read, or is a whole list that names no instances: the one held stays
+   * @param since the version that this call goes on from: that held when it was made, or that of its last list
+   * @return null if it is older than what another call has told since: nothing has changed then
+   * @throws ProtocolException if it can't be read, is a whole list that names no instances, or changes from before what
+   *     they go on from: the list held stays
    */
-  public ServerList update(Map<String, Object> list) throws ProtocolException {
+  public ServerList update(Map<String, Object> list, long since) throws ProtocolException {
     boolean whole = Boolean.TRUE.equals(list.get("reset"));
     if (whole && !list.containsKey("instances")) {
       throw new ProtocolException("a whole list without instances");
     }
+    if (version(list) < generation && generation != since) {
+      return null;
+    }
+    if (version(list) < generation && !whole) {
+      throw new ProtocolException("changes of version " + version(list) + " go on from version " + generation);
+    }
     return take(list, whole ? ListKind.FULL : ListKind.CHANGES);
   }
 
+  private long version(Map<String, Object> list) {
+    return (long) number(list, "generation", generation);
+  }
+
   /** The whole list that changes make of a list from before. */
   static ServerList over(ServerList before, ServerList changes) {
     Map<String, ServerEntry> entries = new LinkedHashMap<>();
@@ -108,7 +123,7 @@
       entries.add(entry);
       told.put(entry.server(), entry.state() == ServerState.GONE ? null : address(values));
     }
-    generation = (long) number(list, "generation", generation);
+    generation = version(list);
     if (kind != ListKind.CHANGES) {
       addresses.clear();
     }
