Keep the call that a new address was given when the module's own turn comes

A watch fails, the module waits before it asks again, SIGHUP moves discovery: Discovery.moveTo opened a watch at the new address at once, and the module's turn (watch(true)) then tore it down and called again, behind all who had called in between. The call is kept now as one by the clock is (unasked, byClock before).

Measured: ListCrossingsTest.aNewAddressIsCalledOnce, red without the line in moveTo.

--- a/proxy/src/main/java/lemondeal/discovery/Discovery.java
+++ b/proxy/src/main/java/lemondeal/discovery/Discovery.java
@@ -42,8 +42,8 @@
   private boolean kept;
   /** The list from before the start, while it is held back from the module; null otherwise. */
   private ServerList heldBack;
-  /** A watch that the clock asks for; the module has asked for none in time. */
-  private boolean byClock;
+  /** A watch that the clock or a new address asked for, before the module did. */
+  private boolean unasked;
   private Timers.Timer again;
 
   public Discovery(Net net, Timers timers, Limits limits, Config config, HostGroup group,
@@ -115,6 +115,7 @@
       }
     }
     if (wanted) {
+      unasked = true;
       open();
     }
   }
@@ -124,10 +125,10 @@
     wanted = on;
     if (!on) {
       end();
-    } else if (!byClock || watch.isOver()) {
+    } else if (!unasked || watch.isOver()) {
       open();
     }
-    byClock = false;
+    unasked = false;
   }
 
   private void open() {
@@ -155,7 +156,7 @@
     long now = timers.now();
     Timers.cancel(again);
     again = timers.after(clock.askAt(now, random.nextDouble()) - now, () -> {
-      byClock = true;
+      unasked = true;
       open();
     });
   }
