Give up a watch that brings bytes and no whole line, however they come

Call took each byte as heard (clock.heard on a watch, clock.stirred before its first line, and the deadline set anew with each): a watch that dribbled, or had sent its head and nothing more but a byte now and then, stayed "sound" for ever while changes were missed. Silence now runs from the last whole line: 2.6 s behind one, and before the first 3.5 s from the last byte, 4.5 s from the call at most, so that another call still fits. A deadline is only set anew when its time has moved: a byte in the 30 ms between the first look and the second put the end off. A connection that stands is discovery's return, whatever it answers (Call.start), not only its first line.

Rows: "part of an answer is no silence" allowed 6.4 s to a call whose answer had begun; replaced by stricter ones (given up by 4.5 s, counts 6 s after the call).

ListCrossingsTest holds the other crossings of lists, too.

--- a/proxy/src/main/java/lemondeal/discovery/Call.java
+++ b/proxy/src/main/java/lemondeal/discovery/Call.java
@@ -42,12 +42,13 @@
   private Dial dial;
   private Link link;
   private Timers.Timer silence;
+  private long silentFrom;
   private long since;
   private boolean answered;
   private boolean over;
 
   /**
-   * @param clock is told when this call hears anything, and says when it has been silent for too long
+   * @param clock is told what this call hears, and says when it has been silent for too long
    * @param since the version held as the call is made
    * @param failed is told once, if the call ends without answer or a watch ends at all
    */
@@ -72,6 +73,7 @@
     awaitMore();
     dial = net.dial(address, limits.watchSilence(), opened -> {
       link = opened;
+      clock.back(timers.now());
       link.start(this);
       link.send(request);
     }, this::unreached);
@@ -93,19 +95,16 @@
     }
   }
 
-  private void heard() {
-    if (answered) {
-      clock.heard(timers.now());
-    } else {
-      clock.stirred(timers.now());
-    }
-    awaitMore();
-  }
-
-  /** Guards against a discovery that is cut off: its connection stays open and says nothing. */
+  /**
+   * Guards against a discovery that is cut off: its connection stays open and says nothing, or nothing whole. Whatever
+   * does not move the end of patience must not begin it anew: bytes that come one by one would go on for ever.
+   */
   private void awaitMore() {
-    Timers.cancel(silence);
-    silence = timers.after(clock.brokenAt() - timers.now(), this::late);
+    if (clock.brokenAt() != silentFrom) {
+      silentFrom = clock.brokenAt();
+      Timers.cancel(silence);
+      silence = timers.after(silentFrom - timers.now(), this::late);
+    }
   }
 
   /** Looks again a moment later: it may be this process that stood still, with a line waiting to be read. */
@@ -138,7 +137,8 @@
     try {
       parser.take(bytes);
       if (!over) {
-        heard();
+        clock.stirred(timers.now());
+        awaitMore();
       }
     } catch (ProtocolException e) {
       fail();
@@ -180,6 +180,8 @@
     if (line.isBlank() && !objects.midObject()) {
       if (watch && !answered) {
         tell(Map.of());
+      } else if (answered) {
+        clock.heard(timers.now());
       }
       return;
     }
@@ -192,6 +194,9 @@
   private void tell(Map<String, Object> list) throws ProtocolException {
     answered = true;
     since = told.listed(list, since);
+    if (!over) {
+      clock.heard(timers.now());
+    }
   }
 
   @Override
--- a/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
+++ b/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
@@ -26,6 +26,8 @@
   private static final long MISSED_AFTER_WAIT = 2 * SECOND;
   /** Discovery works through calls one after another: a call without a byte of an answer is given up after this. */
   private static final long ANSWER_WITHIN = 3_500 * MILLI;
+  /** An answer that comes in pieces has brought its first whole line by then: another call has to fit behind it. */
+  private static final long FIRST_LINE_WITHIN = 4_500 * MILLI;
   /** After a new configuration, what the discovery named there has counts so long later. */
   private static final long AFTER_RELOAD = 4 * SECOND;
   /** A failed call lengthens the time for which the list held is the one that counts. */
@@ -53,8 +55,10 @@
   private boolean open;
   /** Whether what is out has brought anything yet. */
   private boolean answered;
-  /** When what is out last brought anything, or began; NEVER with nothing out. */
+  /** When what is out last brought a whole line, or began; NEVER with nothing out. */
   private long heardAt = NEVER;
+  /** When it last brought anything at all. */
+  private long stirredAt = NEVER;
   /** From when on a watch or call that was broken had brought nothing, until discovery is heard again. */
   private long silentSince = NEVER;
   private long calledAt;
@@ -84,11 +88,12 @@
     calledAt = now;
     callFailed = false;
     heardAt = now;
+    stirredAt = now;
     answered = false;
     open = settings.callWait() > 0;
   }
 
-  /** Something came on a watch, be it an empty one; the first opens it. */
+  /** A whole line came on a watch, be it an empty one; the first opens it. */
   public void heard(long now) {
     back(now);
     // One that ends behind its first line, time and again, is no better than one that brings none.
@@ -96,13 +101,14 @@
     open = true;
     answered = true;
     heardAt = now;
+    stirredAt = now;
     silentSince = NEVER;
     blindSince = NEVER;
   }
 
-  /** Part of an answer came, not a whole line yet: the call has not failed, and tells nothing. */
+  /** Part of a line came: it tells nothing, and keeps no watch alive, but a call's first line may be on its way. */
   public void stirred(long now) {
-    heardAt = now;
+    stirredAt = now;
   }
 
   /** The whole list came, and with it the call is over. */
@@ -159,7 +165,9 @@
     if (heardAt == NEVER) {
       return NEVER;
     }
-    return heardAt + (answered ? LINE_EVERY + LINE_LATE : open ? settings.callWait() + LINE_LATE : ANSWER_WITHIN);
+    return answered ? heardAt + LINE_EVERY + LINE_LATE
+        : open ? heardAt + settings.callWait() + LINE_LATE
+        : Math.min(stirredAt + ANSWER_WITHIN, heardAt + FIRST_LINE_WITHIN);
   }
 
   /** Whether the watch or call that is out has been silent for so long that it has to be made anew. */
