Poll a discovery that is down more slowly, and begin the pauses anew at its return

Need: where lists are pushed a hundred proxies called a discovery that refuses 400 times a second for the whole outage. While it is down a call tells only that it is still down; what counts is that the list is there within the grace of the return. So the longest pause is two fifths of the grace while it is down (0.6 s at most in the mean) and the pauses begin anew at the return: the first call comes within 0.6 of the grace, and two more, should both fail, within another 0.2.

--- a/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
+++ b/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
@@ -144,6 +144,7 @@
   public void back(long now) {
     if (down) {
       down = false;
+      failures = 0;
       reachableSince = now;
       countsFrom = Math.max(countsFrom, now);
       calledAt = Math.max(calledAt, now);
@@ -240,9 +241,11 @@
     return now + (long) (Math.max(CALL_PAUSE_FIRST, pause) * (0.5 + draw));
   }
 
+  /** While discovery is down twice the longest is short enough: pauses begin anew with its return. */
   private long pushedPause() {
     long grown = CALL_PAUSE_FIRST << Math.min(Math.max(0, failures - 1), 10);
-    return Math.min(grown, Math.min(CALL_PAUSE_MOST, settings.drainGrace() / CALLS_IN_TIME));
+    long longest = settings.drainGrace() * (down ? 2 : 1) / CALLS_IN_TIME;
+    return Math.min(grown, Math.min(CALL_PAUSE_MOST, longest));
   }
 
   private long timeToAsk(long now) {
--- a/proxy/src/test/java/lemondeal/discovery/clock/ListClockTest.java
+++ b/proxy/src/test/java/lemondeal/discovery/clock/ListClockTest.java
@@ -4,9 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import lemondeal.discovery.ModelledDiscovery;
+import lemondeal.discovery.ModelledDiscovery.Reply;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvFileSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** What the pages say of when a change counts as told: a row for each sentence, in the table beside. */
 class ListClockTest {
@@ -103,6 +109,68 @@
     assertEquals(first, clock.askAt(8_200_000, 0.5) - 8_200_000, "one that lasted is");
   }
 
+  /** One process without a watch, whose calls a modelled discovery answers. */
+  private static final class Caller {
+    private final ModelledDiscovery discovery;
+    private final ListClock clock;
+    private final SplittableRandom random;
+    private int toFail;
+    private long calledAt = -1;
+    private long listedAt = -1;
+
+    Caller(ModelledDiscovery discovery, long seed) {
+      this.discovery = discovery;
+      clock = clock("pushed");
+      random = new SplittableRandom(seed);
+    }
+
+    void call() {
+      calledAt = calledAt < 0 ? discovery.now() : calledAt;
+      clock.called(discovery.now());
+      discovery.call(this::answered);
+    }
+
+    private void answered(Reply reply) {
+      if (reply == Reply.REFUSED) {
+        clock.down(discovery.now());
+      } else {
+        clock.back(discovery.now());
+      }
+      if (reply == Reply.LIST && toFail-- <= 0) {
+        listedAt = discovery.now();
+        return;
+      }
+      if (reply != Reply.REFUSED) {
+        clock.failed(discovery.now());
+      }
+      discovery.after(clock.askAt(discovery.now(), random.nextDouble()) - discovery.now(), this::call);
+    }
+  }
+
+  /** What the agent has counts at once at its return: the list is there within the grace, also if two calls fail. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 2})
+  void aHundredHaveTheirPushedListsWithinTheGraceOfTheReturn(int toFail) {
+    ModelledDiscovery discovery = new ModelledDiscovery(500, GRACE);
+    discovery.goDown();
+    List<Caller> all = new ArrayList<>();
+    for (int i = 0; i < 100; i++) {
+      all.add(new Caller(discovery, i));
+      all.get(i).call();
+    }
+    discovery.runTo(8_000_000);
+    int before = discovery.calls.size();
+    discovery.runTo(9_000_000);
+    int outage = discovery.calls.size() - before;
+    assertTrue(outage <= 350, outage + " calls a second while it is down");
+    discovery.comeBack();
+    all.forEach(caller -> caller.calledAt = -1);
+    all.forEach(caller -> caller.toFail = toFail);
+    discovery.runTo(9_000_000 + GRACE);
+    assertEquals(0, all.stream().filter(caller -> caller.listedAt < 0).count(), "without a list");
+    assertTrue(all.stream().allMatch(caller -> caller.calledAt <= 9_000_000 + GRACE * 6 / 10));
+  }
+
   /** Settings without a grace must not make a busy loop of it. */
   @Test
   void thereIsAlwaysAPauseBetweenTwoCalls() {
