--- a/proxy/src/main/java/lemondeal/discovery/HostGroup.java
+++ b/proxy/src/main/java/lemondeal/discovery/HostGroup.java
@@ -73,9 +73,9 @@
   }
 
   /**
-   * Takes in a list or a line of changes, whichever it says it is. An older list must not undo what a newer one told: two
-   * calls may be answered in either order. Yet discovery may count its versions anew, after a restart of its own, and then
-   * tells the whole list.
+   * Takes in a list or a line of changes, whichever it says it is. An older list must not undo what a newer one told:
+   * two calls may be answered in either order. Yet discovery may count its versions anew, after a restart of its own,
+   * and then tells the whole list.
    *
    * @param since the version that this call goes on from: that held when it was made, or that of its last list
    * @return null if it is older than what another call has told since: nothing has changed then
--- a/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
+++ b/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
@@ -228,8 +228,8 @@
   /**
    * When discovery has to be asked next. With a sound watch, or a call out, not before that is broken. Where lists are
    * pushed, soon, since what the agent has counts already, after pauses that grow. Where they are asked for, the pauses
-   * are whoever asks' to choose, and this is when it has waited too long; the shorter what is held is still good for, the
-   * sooner, but no sooner than where lists are pushed, nor in any hurry when that is over.
+   * are whoever asks' to choose, and this is when it has waited too long; the shorter what is held is still good for,
+   * the sooner, but no sooner than where lists are pushed, nor in any hurry when that is over.
    *
    * @param draw a random number in [0, 1): proxies whose watches ended together must not come back together
    */
--- a/proxy/src/main/java/lemondeal/module/Membership.java
+++ b/proxy/src/main/java/lemondeal/module/Membership.java
@@ -7,8 +7,8 @@
 final class Membership {
   private static final long ASK_SPREAD_PER_NODE = 10_000; // of first calls, for each node of the tier
   private static final long ASK_BACKOFF = 300_000; // mean of the first pause after a failed call; doubles
-  private static final long ASK_BACKOFF_MOST = 600_000; // so that discovery is called in its first second back
-  private static final long ASK_AGAIN_MOST = 5_000_000; // before what was missed counts, 6 s after it was made
+  private static final long ASK_BACKOFF_MOST = 600_000; // calls discovery in its first second back
+  private static final long ASK_AGAIN_MOST = 5_000_000; // what was missed counts after 6 s
   static final long TOKEN_ASK = 0;
 
   private final Node node;
@@ -24,8 +24,8 @@
   void start() {
     if (node.settings.mustAskForList()) {
       // All that went by before the start may count at once: the list has to be there within the grace.
-      long spread = Math.min(node.settings.rules().drainGrace() / 2, ASK_SPREAD_PER_NODE * node.settings.nodes());
-      askAt(1 + node.random.nextLong(Math.max(1, spread)));
+      long spread = ASK_SPREAD_PER_NODE * node.settings.nodes();
+      askAt(1 + node.random.nextLong(Math.max(1, Math.min(spread, node.settings.rules().drainGrace() / 2))));
     }
   }
 
--- a/proxy/src/test/java/lemondeal/discovery/ModelledDiscovery.java
+++ b/proxy/src/test/java/lemondeal/discovery/ModelledDiscovery.java
@@ -8,8 +8,8 @@
 import java.util.function.Consumer;
 
 /**
- * A discovery that works through calls one after another, on a clock of its own: one call's turn takes a time, a call that
- * waits too long for its turn fails, and while it is down every call fails at once. In microseconds.
+ * A discovery that works through calls one after another, on a clock of its own: one call's turn takes a time, a call
+ * that waits too long for its turn fails, and while it is down every call fails at once. In microseconds.
  */
 public final class ModelledDiscovery {
 
--- a/proxy/src/test/java/lemondeal/discovery/clock/ListClockTest.java
+++ b/proxy/src/test/java/lemondeal/discovery/clock/ListClockTest.java
@@ -64,20 +64,22 @@
 
   @Test
   void theListHeldIsGoodUntilWhatMayBeMissedEndsSends() {
-    assertEquals(ListClock.NEVER, after("asked", "0:call 0.1:line").goodUntil(1_000_000), "a sound watch misses nothing");
+    assertEquals(ListClock.NEVER, after("asked", "0:call 0.1:line").goodUntil(1_000_000), "sound: misses nothing");
     assertEquals(100_000 + 6_000_000 + GRACE + SLACK, after("asked", "0:call 0.1:line").goodUntil(3_000_000));
     assertEquals(GRACE + SLACK, after("pushed", null).goodUntil(0), "a new process has not looked yet");
     assertEquals(GRACE + SLACK, after("asked", null).goodUntil(0), "nor has one that asks");
-    assertEquals(13_000_000 + 6_000_000 + GRACE + SLACK,
-        after("asked", "0:call 0.1:line 4:line 5:down 13:back 13.1:call 14:fail").goodUntil(14_000_000), "whatever failed");
-    assertEquals(5_000_000 + GRACE + SLACK, after("pushed", "0:call 0.1:line 5:down 5:back 5:fail").goodUntil(5_000_000));
+    ListClock failing = after("asked", "0:call 0.1:line 4:line 5:down 13:back 13.1:call 14:fail");
+    assertEquals(13_000_000 + 6_000_000 + GRACE + SLACK, failing.goodUntil(14_000_000), "whatever failed");
+    ListClock back = after("pushed", "0:call 0.1:line 5:down 5:back 5:fail");
+    assertEquals(5_000_000 + GRACE + SLACK, back.goodUntil(5_000_000));
   }
 
   /** Three calls fit before the list held is no good any more, whatever the draw: two of them may fail. */
   @Test
   void asksSoonEnoughForTwoCallsToFail() {
     for (double draw : new double[] {0, 0.999}) {
-      ListClock pushed = after("pushed", "0:call 0.1:line 2:fail 2.1:call 2.2:fail 2.3:call 2.4:fail 2.5:call 2.6:fail");
+      ListClock pushed = after("pushed",
+          "0:call 0.1:line 2:fail 2.1:call 2.2:fail 2.3:call 2.4:fail 2.5:call 2.6:fail");
       assertTrue(3 * (pushed.askAt(2_600_000, draw) - 2_600_000) < GRACE, "what the agent has counts already");
       ListClock silent = after("asked", "0:call 0.1:line 2.1:line 4.7:fail");
       assertTrue(2_600_000 + 3 * (silent.askAt(4_700_000, draw) - 4_700_000) < 6_000_000 + GRACE, "a silent watch");
--- a/proxy/src/test/java/lemondeal/module/MembershipTest.java
+++ b/proxy/src/test/java/lemondeal/module/MembershipTest.java
@@ -133,7 +133,7 @@
     discovery.comeBack();
     all.forEach(Process::look);
     discovery.runTo(29 * SECOND);
-    assertEquals(0, all.stream().filter(process -> process.calledAt < 0).count(), "not called in its first second back");
+    assertEquals(0, all.stream().filter(process -> process.calledAt < 0).count(), "not called within a second");
     discovery.runTo(28 * SECOND + LATEST);
     assertEquals(0, all.stream().filter(process -> process.listedAt < 0).count(), "without a list");
     assertTrue(discovery.mostInASecond() <= 3 * NODES, discovery.mostInASecond() + " calls in a second");
