Back off further where calls waited in vain, so that an overrun discovery comes out of it

The module hears of no cause, but of the time: a call that failed 0.3 s after it was made waited for its turn, one that is refused fails at once. Two that waited a second each still leave room for a third within 6 s.

--- a/proxy/src/main/java/lemondeal/module/Membership.java
+++ b/proxy/src/main/java/lemondeal/module/Membership.java
@@ -8,6 +8,9 @@
   private static final long ASK_SPREAD_PER_NODE = 10_000; // of first calls, for each node of the tier
   private static final long ASK_BACKOFF = 300_000; // mean of the first pause after a failed call; doubles
   private static final long ASK_BACKOFF_MOST = 600_000; // calls discovery in its first second back
+  private static final long ASK_WAITED = 300_000; // a call that failed so late waited for its turn in vain
+  private static final long ASK_OVERRUN_PER_NODE = 30_000; // mean pause then: 33 calls a second of all
+  private static final long ASK_OVERRUN_MOST = 3_000_000;
   private static final long ASK_AGAIN_MOST = 5_000_000; // what was missed counts after 6 s
   static final long TOKEN_ASK = 0;
 
@@ -15,6 +18,8 @@
   private boolean subscribed;
   boolean listed; // whether discovery has told a list since the start
   private int askFailures;
+  private int waitedInVain; // calls since the last list
+  private long askedAt;
   private long nextAsk;
 
   Membership(Node node) {
@@ -23,7 +28,6 @@
 
   void start() {
     if (node.settings.mustAskForList()) {
-      // All that went by before the start may count at once: the list has to be there within the grace.
       long spread = ASK_SPREAD_PER_NODE * node.settings.nodes();
       askAt(1 + node.random.nextLong(Math.max(1, Math.min(spread, node.settings.rules().drainGrace() / 2))));
     }
@@ -34,6 +38,7 @@
       return;
     }
     node.out.add(new Subscribe(true));
+    askedAt = node.now;
     // Should no answer come at all, the call is made again before the node counts as not asking.
     askAt(Math.min(node.settings.rules().askEvery() / 2, ASK_AGAIN_MOST));
   }
@@ -45,12 +50,19 @@
 
   /** Calls again after a pause that doubles and is drawn: nodes turned away must not return together. */
   private void askLater() {
+    boolean waited = !subscribed && node.now - askedAt >= ASK_WAITED;
     subscribed = false;
-    long pause = Math.min(ASK_BACKOFF_MOST, ASK_BACKOFF << Math.min(askFailures, 8));
-    askFailures++;
+    long soon = Math.min(ASK_BACKOFF_MOST, ASK_BACKOFF << Math.min(askFailures++, 8));
+    long pause = waited ? pauseOverrun() : soon;
     askAt(pause / 2 + node.random.nextLong(pause));
   }
 
+  /** A discovery that is down is cheap to call; one that is overrun may never come out of it by itself. */
+  private long pauseOverrun() {
+    long most = Math.min(ASK_OVERRUN_MOST, ASK_OVERRUN_PER_NODE * node.settings.nodes());
+    return Math.min(Math.max(ASK_BACKOFF_MOST, most), ASK_BACKOFF_MOST << Math.min(waitedInVain++, 8));
+  }
+
   void serverList(ServerList event) {
     if (event.kind() == ListKind.FAILED) {
       askLater();
@@ -60,6 +72,7 @@
       subscribed = true;
       listed = true;
       askFailures = 0;
+      waitedInVain = 0;
     }
     if (event.kind() != ListKind.CHANGES) {
       for (Server s : node.fleet) {
--- a/proxy/src/test/java/lemondeal/module/MembershipTest.java
+++ b/proxy/src/test/java/lemondeal/module/MembershipTest.java
@@ -48,6 +48,7 @@
     /** Calls that fail before one is answered. */
     private int toFail;
     private boolean deaf;
+    private int calls;
     private long calledAt = -1;
     private long listedAt = -1;
 
@@ -67,6 +68,7 @@
           discovery.after(a.delay(), () -> take(new Wake(a.token())));
         } else if (action instanceof Subscribe) {
           calledAt = calledAt < 0 ? discovery.now() : calledAt;
+          calls++;
           discovery.call(this::answered);
         }
       }
@@ -89,6 +91,7 @@
     }
 
     void look() {
+      calls = 0;
       calledAt = -1;
     }
   }
@@ -155,6 +158,39 @@
     assertEquals(0, all.stream().filter(process -> process.listedAt < 0).count());
   }
 
+  /** Calls that wait for their turn in vain keep an overrun discovery overrun if they come again as soon. */
+  @Test
+  void callsThatWaitedInVainComeMoreSeldom() {
+    ModelledDiscovery discovery = new ModelledDiscovery(1_000 * SECOND, SECOND);
+    List<Process> all = processes(discovery);
+    discovery.runTo(60 * SECOND);
+    int before = discovery.calls.size();
+    discovery.runTo(70 * SECOND);
+    int calls = discovery.calls.size() - before;
+    assertTrue(calls <= 10 * NODES * 4 / 10, calls + " calls in 10 s");
+    discovery.goDown();
+    discovery.runTo(80 * SECOND);
+    all.forEach(Process::look);
+    discovery.runTo(81 * SECOND);
+    long called = all.stream().filter(process -> process.calledAt >= 0).count();
+    assertTrue(called >= NODES - 1, "as soon as ever once it fails at once: all but the one whose turn it is");
+  }
+
+  /** Two calls that wait a second in vain, behind an outage: the third is made within six seconds. */
+  @Test
+  void twoCallsThatWaitInVainLeaveTimeForAThird() {
+    ModelledDiscovery discovery = new ModelledDiscovery(1_000 * SECOND, SECOND);
+    discovery.goDown();
+    List<Process> all = processes(discovery);
+    discovery.runTo(10 * SECOND);
+    discovery.comeBack();
+    // Keeps the one turn that there is, so that every other call waits in vain.
+    discovery.call(reply -> { });
+    all.forEach(Process::look);
+    discovery.runTo(10 * SECOND + LATEST);
+    assertEquals(0, all.stream().filter(process -> process.calls < 3).count());
+  }
+
   /** However long the settings let a process go without asking. */
   @Test
   void aCallThatIsNeverAnsweredIsMadeAgainBeforeWhatItMissesCounts() {
