Let the clock ask for a list only when whoever is to ask has waited too long

ListClock.askAt answered after a fifth of what was left where lists are asked for, 0.6 to 1.8 s: sooner than the module's own pause once that backs off, so Discovery called beside it.

Measured: ListClockTest, ListCrossingsTest, DiscoveryClockTest green.

--- a/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
+++ b/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
@@ -36,6 +36,7 @@
   private static final int CALLS_IN_TIME = 5;
   /** Where lists are pushed: the mean pause after the first failed call, which doubles, and the longest it comes to. */
   private static final long CALL_PAUSE_FIRST = 40 * MILLI;
+  private static final long CALL_PAUSE_LEAST = 20 * MILLI;
   private static final long CALL_PAUSE_MOST = 600 * MILLI;
 
   /**
@@ -228,8 +229,8 @@
   /**
    * When discovery has to be asked next. With a sound watch, or a call out, not before that is broken. Where lists are
    * pushed, soon, since what the agent has counts already, after pauses that grow. Where they are asked for, the pauses
-   * are whoever asks' to choose, and this is when it has waited too long; the shorter what is held is still good for,
-   * the sooner, but no sooner than where lists are pushed, nor in any hurry when that is over.
+   * are whoever asks' to choose: this is when it has waited too long, with time left before what is held is no good any
+   * more, but in no more of a hurry than a grace allows, nor in any when it is too late.
    *
    * @param draw a random number in [0, 1): proxies whose watches ended together must not come back together
    */
@@ -237,8 +238,8 @@
     if (heardAt != NEVER) {
       return Math.max(now, brokenAt());
     }
-    long pause = settings.pushed() ? pushedPause() : timeToAsk(now) / CALLS_IN_TIME;
-    return now + (long) (Math.max(CALL_PAUSE_FIRST, pause) * (0.5 + draw));
+    double pause = settings.pushed() ? pushedPause() * (0.5 + draw) : timeToAsk(now) * (0.5 + draw / 4);
+    return now + (long) Math.max(CALL_PAUSE_LEAST, pause);
   }
 
   /** While discovery is down twice the longest is short enough: pauses begin anew with its return. */
