--- a/proxy/src/main/java/lemondeal/discovery/Call.java
+++ b/proxy/src/main/java/lemondeal/discovery/Call.java
@@ -3,7 +3,6 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Map;
-import java.util.function.Consumer;
 import lemondeal.codec.HttpParser;
 import lemondeal.codec.Json;
 import lemondeal.codec.ObjectLines;
@@ -17,6 +16,18 @@
 
 /** One call to discovery, for a watch or for the whole list. Ends once: by failure, or with its last line. */
 final class Call implements Link.Owner, HttpParser.Sink {
+
+  /** Takes the lists that a call brings. */
+  interface Told {
+    /**
+     * @param list empty for a watch that has nothing new to say at first
+     * @param since the version that the call goes on from
+     * @return the version that it goes on from now
+     * @throws ProtocolException if the list can't be read: the call has failed then
+     */
+    long listed(Map<String, Object> list, long since) throws ProtocolException;
+  }
+
   private static final int OK = 200;
 
   private final Timers timers;
@@ -24,29 +35,32 @@
   private final ListClock clock;
   private final String path;
   private final boolean watch;
-  private final Consumer<Map<String, Object>> listed;
+  private final Told told;
   private final Runnable failed;
   private final HttpParser parser;
   private final ObjectLines objects;
   private Dial dial;
   private Link link;
   private Timers.Timer silence;
+  private long silentFrom;
+  private long since;
   private boolean answered;
   private boolean over;
 
   /**
-   * @param clock is told when this call hears anything, and says when it has been silent for too long
-   * @param listed is told each list or change; an empty one for a watch that has nothing new to say at first
+   * @param clock is told what this call hears, and says when it has been silent for too long
+   * @param since the version held as the call is made
    * @param failed is told once, if the call ends without answer or a watch ends at all
    */
-  Call(Timers timers, Limits limits, ListClock clock, String path, boolean watch, Consumer<Map<String, Object>> listed,
+  Call(Timers timers, Limits limits, ListClock clock, String path, boolean watch, long since, Told told,
       Runnable failed) {
     this.timers = timers;
     this.limits = limits;
     this.clock = clock;
     this.path = path;
     this.watch = watch;
-    this.listed = listed;
+    this.since = since;
+    this.told = told;
     this.failed = failed;
     parser = new HttpParser(limits.listLineBytes(), this);
     objects = new ObjectLines(limits.listLineBytes());
@@ -59,6 +73,7 @@
     awaitMore();
     dial = net.dial(address, limits.watchSilence(), opened -> {
       link = opened;
+      clock.back(timers.now());
       link.start(this);
       link.send(request);
     }, this::unreached);
@@ -80,19 +95,16 @@
     }
   }
 
-  private void heard() {
-    if (answered) {
-      clock.heard(timers.now());
-    } else {
-      clock.stirred(timers.now());
-    }
-    awaitMore();
-  }
-
-  /** Guards against a discovery that is cut off: its connection stays open and says nothing. */
+  /**
+   * Guards against a discovery that is cut off: its connection stays open and says nothing, or nothing whole. Whatever
+   * does not move the end of patience must not begin it anew: bytes that come one by one would go on for ever.
+   */
   private void awaitMore() {
-    Timers.cancel(silence);
-    silence = timers.after(clock.brokenAt() - timers.now(), this::late);
+    if (clock.brokenAt() != silentFrom) {
+      silentFrom = clock.brokenAt();
+      Timers.cancel(silence);
+      silence = timers.after(silentFrom - timers.now(), this::late);
+    }
   }
 
   /** Looks again a moment later: it may be this process that stood still, with a line waiting to be read. */
@@ -125,7 +137,8 @@
     try {
       parser.take(bytes);
       if (!over) {
-        heard();
+        clock.stirred(timers.now());
+        awaitMore();
       }
     } catch (ProtocolException e) {
       fail();
@@ -167,6 +180,8 @@
     if (line.isBlank() && !objects.midObject()) {
       if (watch && !answered) {
         tell(Map.of());
+      } else if (answered) {
+        clock.heard(timers.now());
       }
       return;
     }
@@ -176,9 +191,12 @@
     }
   }
 
-  private void tell(Map<String, Object> list) {
+  private void tell(Map<String, Object> list) throws ProtocolException {
     answered = true;
-    listed.accept(list);
+    since = told.listed(list, since);
+    if (!over) {
+      clock.heard(timers.now());
+    }
   }
 
   @Override
--- a/proxy/src/main/java/lemondeal/discovery/Discovery.java
+++ b/proxy/src/main/java/lemondeal/discovery/Discovery.java
@@ -42,8 +42,8 @@
   private boolean kept;
   /** The list from before the start, while it is held back from the module; null otherwise. */
   private ServerList heldBack;
-  /** A watch that the clock asks for; the module has asked for none in time. */
-  private boolean byClock;
+  /** A watch that the clock or a new address asked for, before the module did. */
+  private boolean unasked;
   private Timers.Timer again;
 
   public Discovery(Net net, Timers timers, Limits limits, Config config, HostGroup group,
@@ -115,6 +115,7 @@
       }
     }
     if (wanted) {
+      unasked = true;
       open();
     }
   }
@@ -124,10 +125,10 @@
     wanted = on;
     if (!on) {
       end();
-    } else if (!byClock || watch.isOver()) {
+    } else if (!unasked || watch.isOver()) {
       open();
     }
-    byClock = false;
+    unasked = false;
   }
 
   private void open() {
@@ -155,7 +156,7 @@
     long now = timers.now();
     Timers.cancel(again);
     again = timers.after(clock.askAt(now, random.nextDouble()) - now, () -> {
-      byClock = true;
+      unasked = true;
       open();
     });
   }
@@ -168,24 +169,22 @@
 
   private Call call(boolean isWatch) {
     String path = isWatch ? LIST + "?stream=1&index=" + group.generation() : LIST;
-    Call call = new Call(timers, limits, isWatch ? clock : clock(), path, isWatch, this::listed,
+    Call call = new Call(timers, limits, isWatch ? clock : clock(), path, isWatch, group.generation(), this::listed,
         isWatch ? this::watchFailed : this::failed);
     call.start(net, address);
     return call;
   }
 
-  private void listed(Map<String, Object> list) {
-    try {
-      ServerList news = group.update(list);
-      ServerList known = heldBack;
-      heldBack = null;
-      told.accept(known != null && news.kind() == ListKind.CHANGES ? HostGroup.over(known, news) : news);
-    } catch (ProtocolException e) {
-      // A list that can't be read: what is held stays, and a new watch begins with all that was missed.
-      end();
-      clock.failed(timers.now());
-      watchFailed();
+  /** A list that can't be read fails its call alone: what is held stays, and the next watch begins with all missed. */
+  private long listed(Map<String, Object> list, long since) throws ProtocolException {
+    ServerList news = group.update(list, since);
+    if (news == null) {
+      return since;
     }
+    ServerList known = heldBack;
+    heldBack = null;
+    told.accept(known != null && news.kind() == ListKind.CHANGES ? HostGroup.over(known, news) : news);
+    return group.generation();
   }
 
   private void failed() {
