--- /dev/null
+++ b/.ci/verdict_test.py
@@ -0,0 +1,159 @@
+#!/usr/bin/env python3
+"""Tests of .ci/verdict on made-up reports."""
+import subprocess
+import tempfile
+import unittest
+from pathlib import Path
+
+VERDICT = Path(__file__).with_name("verdict")
+GREEN = '<testcase name="works" classname="a.OneTest" time="0.1"/>'
+RED = '<testcase name="fails" classname="a.OneTest"><failure message="no">at</failure></testcase>'
+LISTED = "a.OneTest#fails; the server's side stays open; issue 27\n"
+
+
+class VerdictTest(unittest.TestCase):
+
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.root = Path(folder.name)
+        self.log = self.root / "log"
+        self.log.write_text("[INFO] BUILD SUCCESS\n")
+        (self.root / "pom.xml").write_text("<project><modules><module>m</module><module>n</module></modules></project>")
+        self.report("m", "a.OneTest", GREEN)
+        self.report("n", "b.TwoTest", '<testcase name="works" classname="b.TwoTest"/>')
+
+    def report(self, module, test_class, *cases):
+        source = self.root / module / "src/test/java" / (test_class.replace(".", "/") + ".java")
+        source.parent.mkdir(parents=True, exist_ok=True)
+        source.write_text("class")
+        reports = self.root / module / "target/surefire-reports"
+        reports.mkdir(parents=True, exist_ok=True)
+        failures = sum("<failure" in case for case in cases)
+        errors = sum("<error" in case for case in cases)
+        file = reports / f"TEST-{test_class}.xml"
+        file.write_text(f'<testsuite tests="{len(cases)}" failures="{failures}" errors="{errors}">'
+                        + "".join(cases) + "</testsuite>")
+        return file
+
+    def known(self, text):
+        (self.root / "KNOWN-RED.txt").write_text(text)
+
+    def judged(self):
+        run = subprocess.run([VERDICT, self.root, self.log], capture_output=True, text=True)
+        self.assertEqual("", run.stderr)
+        return run.returncode, run.stdout
+
+    def assert_passed(self):
+        code, said = self.judged()
+        self.assertEqual(0, code, said)
+        return said
+
+    def assert_failed(self, why):
+        code, said = self.judged()
+        self.assertEqual(1, code, said)
+        self.assertIn(why, said)
+
+    def test_green(self):
+        self.assertIn("2 green, 0 red", self.assert_passed())
+
+    def test_an_empty_list_changes_nothing(self):
+        self.known("\n")
+        self.assert_passed()
+
+    def test_red_and_not_listed(self):
+        self.report("m", "a.OneTest", GREEN, RED)
+        self.assert_failed("red: a.OneTest#fails")
+        self.known("a.OneTest#works; cause; issue\n")
+        self.assert_failed("red: a.OneTest#fails")
+
+    def test_an_error_is_red(self):
+        self.report("m", "a.OneTest", RED.replace("failure", "error"))
+        self.assert_failed("red: a.OneTest#fails")
+
+    def test_a_test_that_failed_before_it_passed_is_red(self):
+        self.report("m", "a.OneTest", RED.replace("failure", "flakyFailure"))
+        self.assert_failed("red: a.OneTest#fails")
+
+    def test_a_class_that_failed_as_a_whole_is_red_and_cannot_be_listed(self):
+        self.report("m", "a.OneTest", '<testcase name="" classname="a.OneTest"><error>at</error></testcase>')
+        self.known("a.OneTest#; cause; issue\n")
+        self.assert_failed("red: a.OneTest#")
+
+    def test_red_and_listed(self):
+        self.report("m", "a.OneTest", GREEN, RED)
+        self.known(LISTED)
+        self.assertIn("known red: " + LISTED.strip(), self.assert_passed())
+
+    def test_one_red_argument_makes_a_listed_test_red(self):
+        self.report("m", "a.OneTest", RED.replace('"fails"', '"fails(long)[1]"'),
+                    GREEN.replace('"works"', '"fails(long)[2]"'))
+        self.known(LISTED)
+        self.assert_passed()
+
+    def test_green_and_listed(self):
+        self.report("m", "a.OneTest", GREEN.replace("works", "fails"))
+        self.known(LISTED)
+        self.assert_failed("listed, but green: a.OneTest#fails")
+
+    def test_listed_and_not_run(self):
+        self.known(LISTED)
+        self.assert_failed("listed, but not run: a.OneTest#fails")
+        self.report("m", "a.OneTest", GREEN, RED.replace("failure", "skipped"))
+        self.assert_failed("listed, but not run: a.OneTest#fails")
+
+    def test_a_skipped_test(self):
+        self.report("m", "a.OneTest", GREEN, RED.replace("failure", "skipped"))
+        self.assert_failed("skipped: a.OneTest#fails")
+
+    def test_three_lines_and_four(self):
+        reds = [RED.replace("fails", f"fails{i}") for i in range(4)]
+        lines = [LISTED.replace("fails", f"fails{i}") for i in range(4)]
+        self.report("m", "a.OneTest", *reds[:3])
+        self.known("".join(lines[:3]))
+        self.assert_passed()
+        self.report("m", "a.OneTest", *reds)
+        self.known("".join(lines))
+        self.assert_failed("KNOWN-RED.txt has 4 lines")
+
+    def test_lines_that_lack_something_or_come_twice(self):
+        self.report("m", "a.OneTest", RED)
+        for line in ("a.OneTest#fails", "a.OneTest#fails; cause", "a.OneTest; cause; issue", "a.OneTest#fails; ; 27"):
+            self.known(line)
+            self.assert_failed("should have")
+        self.known(LISTED * 2)
+        self.assert_failed("twice")
+
+    def test_no_reports(self):
+        for file in self.root.glob("*/target/surefire-reports/*"):
+            file.unlink()
+        self.assert_failed("module m: no test ran")
+
+    def test_one_module_without_reports(self):
+        (self.root / "n/target/surefire-reports/TEST-b.TwoTest.xml").unlink()
+        self.assert_failed("module n: no test ran")
+
+    def test_a_class_without_a_report(self):
+        self.report("m", "a.HangsTest", GREEN).unlink()
+        self.assert_failed("module m: a.HangsTest left no report")
+
+    def test_a_report_without_tests(self):
+        self.report("m", "a.OneTest")
+        self.assert_failed("0 tests")
+
+    def test_a_report_that_breaks_off(self):
+        file = self.report("m", "a.OneTest", GREEN)
+        file.write_text(file.read_text()[:-10])
+        self.assert_failed("can't be read")
+
+    def test_a_fork_that_crashed_or_was_ended(self):
+        for line in ("[ERROR] The forked VM terminated without properly saying goodbye. VM crash or System.exit called?",
+                     "[ERROR] There was a timeout in the fork", "[ERROR] There was a timeout or other error in the fork"):
+            self.log.write_text(line)
+            self.assert_failed("the log says")
+        self.log.write_text("a test prints: The forked VM terminated\n")
+        self.assert_passed()
+
+
+if __name__ == "__main__":
+    unittest.main()
