Send idle connections away in one loop, not each from within the one before

Cause: a client link made of a pending connection lowers the bound on pending ones and trims them (PendingLink.firstLine); the oldest is read once more on its way out (PendingLink.makeRoom), its first line may have come, and so it became a client link in turn, from within the first one's trim (EvictingSet.trim). With all slots free, as many lines in the kernel as pending connections, and the I/O thread late, they go as deep as there are slots: a full stack, an error that no guard takes (Faults takes exceptions). On real connections the stack was not seen full: 768 deep did not fill one of 1 MB.

EvictingSet.trim is one loop now; a trim from within leaves the rest to it.

--- a/proxy/src/main/java/lemondeal/net/EvictingSet.java
+++ b/proxy/src/main/java/lemondeal/net/EvictingSet.java
@@ -12,6 +12,7 @@
   private final IntSupplier most;
   private final Consumer<T> away;
   private final LinkedHashSet<T> members = new LinkedHashSet<>();
+  private boolean trimming;
 
   /** {@code away} ends a member, which has left by then; how many there may be can change. */
   public EvictingSet(IntSupplier most, Consumer<T> away) {
@@ -24,12 +25,24 @@
     trim();
   }
 
-  /** Sends away whom there is no room for any more. */
+  /**
+   * Sends away whom there is no room for any more. Who is sent away may be heard first, and so let others in and lower
+   * the bound: all of that is seen to by the one loop. Guards against a crowd whose lines have all come: each of them,
+   * heard on its way out, sent the next one away from within, until the thread's stack was full.
+   */
   public void trim() {
-    while (members.size() > Math.max(0, most.getAsInt())) {
-      T oldest = members.iterator().next();
-      members.remove(oldest);
-      away.accept(oldest);
+    if (trimming) {
+      return;
+    }
+    trimming = true;
+    try {
+      while (members.size() > Math.max(0, most.getAsInt())) {
+        T oldest = members.iterator().next();
+        members.remove(oldest);
+        away.accept(oldest);
+      }
+    } finally {
+      trimming = false;
     }
   }
 
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/proxy/FloodCrossingsTest.java
@@ -0,0 +1,276 @@
+package lemondeal.proxy;
+
+import static lemondeal.proxy.ProxyTest.ID;
+import static lemondeal.proxy.ProxyTest.OPEN;
+import static lemondeal.proxy.ProxyTest.up;
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.lang.management.BufferPoolMXBean;
+import java.lang.management.ManagementFactory;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.stream.Stream;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.Ended;
+import lemondeal.proxy.Site.Held;
+import lemondeal.proxy.Site.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Many at once, at the clients' address and at the second one: what crosses when all of it comes in one round. */
+@Timeout(120)
+class FloodCrossingsTest {
+  private static final String LASTING = "c=chat,d=600000";
+  private static final long SECOND = 1_000_000;
+
+  /** Heard on their way out, those whose lines had come once sent each other away from within one another. */
+  @Test
+  void aFullCrowdWhoseLinesAllComeInOneRoundIsAnswered() throws Exception {
+    ByteArrayOutputStream log = new ByteArrayOutputStream();
+    try (Site site = Site.of(event -> List.of(), setup -> {
+      setup.log = new PrintStream(log, true);
+      setup.sockets = 2500;
+    })) {
+      int slots = site.limits().clients();
+      List<Peer> crowd = new ArrayList<>();
+      for (int i = 0; i < site.limits().pending(slots); i++) {
+        crowd.add(site.client().send("PING\r\n"));
+        assertEquals("PONG", crowd.get(i).line());
+      }
+      try (Held held = site.hold()) {
+        for (int i = 0; i < crowd.size(); i++) {
+          crowd.get(i).send(String.format("OPEN %016x k %s\r\n", i, LASTING));
+        }
+        crowd.get(0).awaitUnread(1);
+        crowd.get(crowd.size() - 1).awaitUnread(1);
+      }
+      site.settle();
+      assertEquals(slots, site.events.stream().filter(Arrived.class::isInstance).count());
+      assertEquals(slots, site.figure("in_flight"));
+      assertEquals(crowd.size() - slots, site.figure("refused.chat"), "nobody is sent away unheard");
+      assertEquals("", log.toString().replace("lemondeal: ready\n", ""));
+    }
+  }
+
+  /** More than there are slots for, in one round of accepts, with clients at work beside them. */
+  @Test
+  void aBurstBeyondTheSlotsIsThrottledAndThoseAtWorkWorkOn() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce, "", 128)) {
+      List<Peer> working = new ArrayList<>();
+      List<Peer> servers = new ArrayList<>();
+      for (int i = 0; i < site.limits().clients() - 2; i++) {
+        working.add(site.client(LASTING));
+        servers.add(up(site, working.get(i)));
+      }
+      List<Peer> burst = new ArrayList<>();
+      try (Held held = site.hold()) {
+        for (int i = 0; i < site.limits().accepts() + 8; i++) {
+          burst.add(site.client(LASTING));
+        }
+        site.awaitQueued(burst.size());
+        working.get(0).send("before\r\n").awaitUnread(8);
+      }
+      assertEquals("before", servers.get(0).line());
+      for (int i = 0; i < 2; i++) {
+        site.atServer().line();
+      }
+      site.settle();
+      assertEquals(burst.size() - 2, site.figure("refused.chat"));
+      assertEquals(site.limits().clients(), site.figure("in_flight"));
+      for (int i = 0; i < working.size(); i++) {
+        servers.get(i).send("still here\r\n");
+        assertEquals("still here", working.get(i).line());
+      }
+    }
+  }
+
+  @Test
+  void ofTwoWithOneIdInOneRoundOneIsLetIn() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      List<Peer> both = new ArrayList<>();
+      try (Held held = site.hold()) {
+        for (int i = 0; i < 2; i++) {
+          both.add(site.client().send(ID + OPEN + "\r\n"));
+        }
+        site.awaitQueued(2);
+        both.get(0).awaitUnread(ID.length());
+        both.get(1).awaitUnread(ID.length());
+      }
+      Peer server = site.atServer();
+      server.line();
+      server.send("UP r1\r\n");
+      List<String> answers = new ArrayList<>();
+      for (Peer peer : both) {
+        answers.add(peer.line());
+      }
+      answers.sort(null);
+      assertEquals(List.of("ERR", "UP r1"), answers);
+      assertEquals(1, site.figure("in_flight"));
+      assertEquals(1, site.figure("attempts"));
+    }
+  }
+
+  /** The id is free again once its holder has gone. */
+  @Test
+  void anIdWhoseHolderWasResetIsFree() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer holder = site.client().send(ID + OPEN + "\r\n");
+      up(site, holder);
+      Peer next = site.client().send("PING\r\n");
+      next.line();
+      try (Held held = site.hold()) {
+        holder.reset();
+        holder.awaitEndQueued();
+      }
+      site.settle();
+      next.send(ID + OPEN + "\r\n");
+      up(site, next);
+    }
+  }
+
+  /** Its line and its end come in one read: it has ended its sending and waits for its answer. */
+  @Test
+  void aFirstLineWithTheEndBehindItIsAnsweredAndNeverSentOn() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client;
+      try (Held held = site.hold()) {
+        client = site.client(OPEN).endSending();
+        site.awaitQueued(1);
+        client.awaitEndQueued();
+      }
+      assertEquals("ERR", client.line());
+      assertNull(client.line());
+      site.await(Ended.class);
+      assertEquals(0, site.figure("attempts"));
+      assertEquals(0, site.figure("in_flight"));
+    }
+  }
+
+  @Test
+  void aFirstLineWithAResetBehindItReachesNobody() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      try (Held held = site.hold()) {
+        Peer client = site.client(OPEN);
+        site.awaitQueued(1);
+        client.reset();
+        client.awaitEndQueued();
+      }
+      site.settle();
+      assertEquals(0, site.figure("attempts"));
+      assertEquals(0, site.figure("in_flight"));
+    }
+  }
+
+  @Test
+  void aFirstLineInPiecesIsOneLine() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client();
+      for (String piece : List.of("PI", "NG\r", "\nOPEN 00000000000000", "01 7f3a9c21e0b4d655 ", OPEN, "\r")) {
+        client.send(piece);
+        site.settle();
+      }
+      client.send("\n");
+      assertEquals("PONG", client.line());
+      up(site, client);
+    }
+  }
+
+  /** Whoever sends without end what can't be read: the end is owed within moments, however much comes. */
+  @ParameterizedTest
+  @ValueSource(strings = {"no line ", "OPEN\r\n", "OPEN 0000000000000001 k c=chat,d=2000\r\n", "\0\r\n\r"})
+  void sixtyMegabytesOfGarbageEndInAnError(String garbage) throws Exception {
+    String block = garbage.repeat(65_536 / garbage.length());
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer flood = site.client();
+      Thread sender = new Thread(() -> assertThrows(IOException.class, () -> {
+        for (int i = 0; i < 60 * 16; i++) {
+          flood.send(block);
+        }
+        throw new IOException("all of it was taken");
+      }));
+      sender.start();
+      assertEquals("ERR", flood.line());
+      site.jump(site.limits().linger());
+      sender.join(10_000);
+      assertTrue(!sender.isAlive(), "its connection has ended");
+      flood.awaitEnd();
+      up(site, site.client(OPEN));
+    }
+  }
+
+  /** Whatever they do before they go, ten thousand leave no slot, buffer, deadline or descriptor behind. */
+  @Test
+  void tenThousandThatComeAndGoLeaveNothing() throws Exception {
+    // Lists are asked for, and the module asks for none: the proxy has no deadline of its own.
+    try (Site site = Site.of(event -> List.of(), setup -> setup.config = text -> text.replace("\"settings\":{",
+        "\"settings\":{\"membershipMode\":\"subscribe\",\"rules\":{\"askEvery\":10000000},"))) {
+      comeAndGo(site, 500);
+      site.jump(5 * SECOND);
+      long before = sockets();
+      long buffers = directBuffers();
+      comeAndGo(site, 10_000);
+      site.jump(5 * SECOND);
+      assertTrue(sockets() <= before, sockets() + " sockets, " + before + " before");
+      assertTrue(directBuffers() <= buffers + 2, directBuffers() + " buffers, " + buffers + " before");
+      KernelSockets.await(() -> untilNextDeadline(site) == Long.MAX_VALUE);
+      assertEquals(0, site.figure("in_flight"));
+    }
+  }
+
+  private static long untilNextDeadline(Site site) {
+    AtomicLong next = new AtomicLong();
+    assertDoesNotThrow(() -> site.onThread(() -> next.set(((TimerWheel) site.proxy.timers()).untilNext())));
+    return next.get();
+  }
+
+  private static void comeAndGo(Site site, int times) throws Exception {
+    for (int i = 0; i < times; i++) {
+      try (Peer peer = new Peer(new Socket(site.proxy.localAddress().getAddress(),
+          site.proxy.localAddress().getPort()))) {
+        switch (i % 6) {
+          case 0 -> { }
+          case 1 -> peer.send("PING\r\nPI");
+          case 2 -> peer.send("garbage\r\n");
+          case 3 -> peer.send(String.format("OPEN %016x k %s\r\n", i, LASTING));
+          case 4 -> peer.send(String.format("OPEN %016x k %s\r\n", i, LASTING)).endSending().line();
+          default -> peer.send("PING\r\n").line();
+        }
+        peer.reset();
+      }
+    }
+    site.settle();
+  }
+
+  private static long sockets() throws IOException {
+    try (Stream<Path> open = Files.list(Path.of("/proc/self/fd"))) {
+      return open.filter(FloodCrossingsTest::isSocket).count();
+    }
+  }
+
+  private static boolean isSocket(Path descriptor) {
+    try {
+      return Files.readSymbolicLink(descriptor).toString().startsWith("socket:");
+    } catch (IOException e) {
+      // Closed since the list was made.
+      return false;
+    }
+  }
+
+  private static long directBuffers() {
+    return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class)
+        .stream().filter(pool -> pool.getName().equals("direct")).findFirst().orElseThrow().getCount();
+  }
+}
