Bound the links kept for probes, and set aside what all else holds

Need: idle clients may take all descriptors that are left for them while discovery is down; what discovery, servers, the second address and a hand-over need has to be there all the same.

Cause: Limits set 22 descriptors aside for probes and discovery, but a process kept a probe link to each server (Proxy. probers) for the keepalive: 90 in a fleet of 90 servers. And with a shared listener the idle connections taken for free slots (a fifth of them) did not fit beside another process on small machines: by 2 of 592, counting accepts.

LinkPool in Net bounds such links (Limits.probeLinks, 16 on the smallest machine, 112 of 1,024); for a new one the link idle for the longest closes. With a probe out on each, one more is told NOT_SENT, which proves that nothing ran and strikes nobody. Limits names each part of the sum; shared, an eighth of the free slots may be idle, and slots leave room for that. probeLinks is the last component of the record; no other changed its name.

--- a/proxy/src/main/java/lemondeal/config/Limits.java
+++ b/proxy/src/main/java/lemondeal/config/Limits.java
@@ -4,6 +4,20 @@
  * Every size, count and time that bounds the proxy, filled once at start and handed down. Times are in
  * microseconds.
  *
+ * <p>Descriptors of one process, all of which together fit into {@code sockets}, whatever clients do:
+ *
+ * <ul>
+ * <li>the program's own files, selectors and the clients' listener;
+ * <li>the second address: its listener, its callers, one just accepted;
+ * <li>calls to discovery, and descriptors whose closing waits for the selector;
+ * <li>{@link #probeLinks};
+ * <li>two for each client link with a request, its own and one to a server: an attempt ends before the next begins;
+ * <li>pending and lingering connections, and those that an accept brings before the oldest goes. What client links leave
+ * free is theirs meanwhile.
+ * </ul>
+ *
+ * <p>An operator's own file may switch on parts that hold more (a fleet's transport, Consul, stores).
+ *
  * @param lineBytes longest line of the protocol, its end included
  * @param ringBytes a ring buffer; holds at least one longest line and a final {@code MOVE}
  * @param listLineBytes longest line in an answer of discovery
@@ -47,29 +61,37 @@
  * @param drainStep between two steps in which clients are moved at a stop
  * @param drainSpread how long moving them all takes
  * @param drainMost the longest that a stop may take
+ * @param probeLinks links to servers that are open for probes at once; beyond, the one idle for the longest closes
  */
 public record Limits(int lineBytes, int ringBytes, int listLineBytes, int turnBytes, int lingerBytes, int clients,
     int ringsMb, boolean shared, int pending, int lingering, int accepted, int accepts, int adminCallers, int adminLine,
     long adminCall, long listWithin, long tick, int wheelSlots, long dial, long answerLead, long firstLine,
     long silence, long unease, long moment, int unanswered, long linger, long moveWithin, long noteEvery, double noteShare, long probe,
     long probeIdle, long watchSilence, long adoptPause, long adoptFor, long throttleFor, long drainAccept,
-    long drainHold, long drainStep, long drainSpread, long drainMost) {
+    long drainHold, long drainStep, long drainSpread, long drainMost, int probeLinks) {
 
   private static final long MILLI = 1_000;
   private static final long SECOND = 1_000_000;
   /** Descriptors of the program itself: 13 are seen (files, selectors, the listener); the rest is room. */
   private static final int OWN_FILES = 16;
-  /** Descriptors for one probe link to each server and for calls to discovery. */
-  private static final int OWN_SOCKETS = 22;
+  /** A watch and a fetch, each with the one that takes its place. */
+  private static final int DISCOVERY_SOCKETS = 4;
+  /** Descriptors that are closed and still at the selector. */
+  private static final int CLOSING = 2;
   /** Connections to the second address, beside its listener and one that has just been accepted. */
   private static final int ADMIN_CALLERS = 8;
   private static final int ADMIN_FILES = ADMIN_CALLERS + 2;
+  /** What a process holds whatever clients do, beside its links for probes. */
+  private static final int OWN = OWN_FILES + DISCOVERY_SOCKETS + CLOSING + ADMIN_FILES;
+  /** Links for probes: so many on the smallest machine, and one more for each so many of its further sockets. */
+  private static final int PROBE_LINKS_LEAST = 16;
+  private static final int PROBE_LINKS_PART = 8;
   /** Connections without a request: so many on the smallest machine, and one more for each so many sockets. */
   private static final int IDLE_LEAST = 36;
   private static final int IDLE_PART = 16;
   private static final int SMALLEST = 256;
   /** Where two processes run, free slots for each further one: the other one's clients need room too. */
-  private static final int SLOTS_PER_PENDING = 5;
+  private static final int SLOTS_PER_PENDING = 8;
   /** Connections accepted in one go before the oldest of a full crowd are closed. */
   private static final int ACCEPT_SLACK = 6;
   private static final int RING_BYTES = 8192;
@@ -99,7 +121,8 @@
 
   /**
    * The same for a process that may share the machine with the one before it or after it. Clients together hold a
-   * third of the descriptors at most, wherever they are; all else that both hold has to fit beside them.
+   * third of the descriptors at most, and no more than one process takes, wherever they are; all else that both hold has to
+   * fit beside them, also the idle connections that either takes for its free slots.
    *
    * @param ringsMb megabytes that rings may take at most: {@link #RINGS_MB} on the platform
    */
@@ -112,7 +135,9 @@
     int idle = (IDLE_LEAST + Math.max(0, sockets - SMALLEST) / IDLE_PART) / processes;
     int lingering = idle / 3;
     int pending = idle - lingering - ACCEPT_SLACK;
-    int bySockets = (sockets - processes * (OWN_FILES + OWN_SOCKETS + ADMIN_FILES + idle)) / 2;
+    int probeLinks = PROBE_LINKS_LEAST + Math.max(0, sockets / processes - SMALLEST) / PROBE_LINKS_PART;
+    int room = sockets - processes * (OWN + probeLinks + idle);
+    int bySockets = shared ? room * SLOTS_PER_PENDING / (2 * SLOTS_PER_PENDING + 1) : room / 2;
     int byMemory = (int) (((long) Math.min(memoryMb / RINGS_PART, ringsMb) << 20) / (2 * RING_BYTES));
     int clients = Math.min(bySockets, byMemory);
     if (clients < 1) {
@@ -124,7 +149,7 @@
         3 * SECOND, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 400 * MILLI,
         30 * MILLI, 64, LINGER, 5 * SECOND, SECOND, 1.0 / 3, SECOND,
         keepalive, 3500 * MILLI, 250 * MILLI, 35 * SECOND, SECOND, DRAIN_ACCEPT,
-        drainMoves - drainSpread, DRAIN_STEP, drainSpread, drainMost);
+        drainMoves - drainSpread, DRAIN_STEP, drainSpread, drainMost, probeLinks);
   }
 
   /** Connections that may be held without a first line while so many client links are not taken. */
--- a/proxy/src/main/java/lemondeal/net/Net.java
+++ b/proxy/src/main/java/lemondeal/net/Net.java
@@ -39,12 +39,14 @@
   private final XnioIoThread thread;
   private final Faults faults;
   private final EvictingSet<Link> lingering;
+  private final LinkPool probeLinks;
   private Timers timers;
 
   public Net(Limits limits, Faults faults) throws IOException {
     this.limits = limits;
     this.faults = faults;
     lingering = new EvictingSet<>(limits::lingering, Link::close);
+    probeLinks = new LinkPool(limits.probeLinks());
     rings = new RingPool(limits.ringBytes());
     worker = Xnio.getInstance().createWorkerBuilder()
         .setWorkerName("lemondeal")
@@ -94,6 +96,11 @@
     return dial;
   }
 
+  /** The places for links that are kept for probes. */
+  public LinkPool probeLinks() {
+    return probeLinks;
+  }
+
   /** Ends the threads, with whatever is still open. */
   public void shutdown() {
     worker.shutdownNow();
--- a/proxy/src/main/java/lemondeal/proxy/Prober.java
+++ b/proxy/src/main/java/lemondeal/proxy/Prober.java
@@ -11,18 +11,25 @@
 import lemondeal.codec.ServerLine;
 import lemondeal.net.Dial;
 import lemondeal.net.Link;
+import lemondeal.net.LinkPool;
 import lemondeal.net.Timers;
 
-/** Probes one server, over one link that is kept for a while: each new connection costs the server work. */
-final class Prober implements Link.Owner {
+/**
+ * Probes one server, over one link that is kept for a while: each new connection costs the server work. Such links are
+ * bounded together; a probe for which there is no place is told as not sent, which says nothing of the server.
+ */
+final class Prober implements Link.Owner, LinkPool.Holder {
   private final Context context;
   private final String server;
   private final Runnable closed;
+  /** When the probes were asked for that are not answered yet. */
   private final ArrayDeque<Long> asked = new ArrayDeque<>();
-  private final LineParser lines;
+  private LineParser lines;
   private Dial dial;
   private Link link;
   private Timers.Timer timer;
+  /** Whether the link has a place in the pool. */
+  private boolean placed;
   private boolean over;
 
   /** {@code closed} is run when this prober is of no more use. */
@@ -30,24 +37,34 @@
     this.context = context;
     this.server = server;
     this.closed = closed;
-    lines = new LineParser(context.limits().lineBytes());
   }
 
   void probe() {
     asked.add(context.now());
     if (link != null) {
+      pool().busy(this);
       ask();
     } else if (dial == null) {
       open();
     }
   }
 
+  private LinkPool pool() {
+    return context.net().probeLinks();
+  }
+
   private void open() {
     InetSocketAddress address = context.group().address(server);
     if (address == null) {
       context.net().later(() -> end(Outcome.NO_CONNECTION));
       return;
     }
+    placed = placed || pool().take();
+    if (!placed) {
+      context.net().later(() -> end(Outcome.NOT_SENT));
+      return;
+    }
+    lines = new LineParser(context.limits().lineBytes());
     dial = context.net().dial(address, context.limits().dial(), opened -> {
       link = opened;
       link.start(this);
@@ -63,6 +80,10 @@
       return;
     }
     link.send("STATS\r\n");
+    awaitAnswer();
+  }
+
+  private void awaitAnswer() {
     arm(context.limits().probe(), Outcome.TIMED_OUT);
   }
 
@@ -77,6 +98,17 @@
       return;
     }
     over = true;
+    disconnect();
+    if (placed) {
+      pool().release(this);
+    }
+    closed.run();
+    while (!asked.isEmpty()) {
+      tell(outcome, null);
+    }
+  }
+
+  private void disconnect() {
     Timers.cancel(timer);
     if (dial != null) {
       dial.cancel();
@@ -84,10 +116,13 @@
     if (link != null) {
       link.close();
     }
-    closed.run();
-    while (!asked.isEmpty()) {
-      tell(outcome, null);
-    }
+    dial = null;
+    link = null;
+  }
+
+  @Override
+  public void giveUp() {
+    end(Outcome.CANCELLED);
   }
 
   private void tell(Outcome outcome, LoadReport report) {
@@ -117,6 +152,7 @@
       return;
     }
     if (asked.size() == 1) {
+      pool().idle(this);
       arm(context.limits().probeIdle(), Outcome.CANCELLED);
     }
     switch (line.kind()) {
@@ -128,11 +164,15 @@
 
   @Override
   public void ended() {
-    end(Outcome.RESET);
+    lost();
   }
 
   @Override
   public void broken() {
+    lost();
+  }
+
+  private void lost() {
     end(Outcome.RESET);
   }
 
--- a/proxy/src/test/java/lemondeal/config/ConfigTest.java
+++ b/proxy/src/test/java/lemondeal/config/ConfigTest.java
@@ -10,6 +10,9 @@
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -87,6 +90,49 @@
     }
   }
 
+  /**
+   * What a process holds beside clients, counted anew: 13 files and 3 to spare; the second address's listener, its
+   * callers and one more; a watch and a fetch, each beside the one that it replaces; two that are being closed.
+   */
+  private static int own(Limits limits) {
+    return 13 + 3 + 1 + limits.adminCallers() + 1 + 4 + 2 + limits.probeLinks();
+  }
+
+  /** Descriptors of clients with a request and without one, at the worst, while so many have a request. */
+  private static int held(Limits limits, int working) {
+    int acceptSlack = 6;
+    return 2 * working + limits.pending(limits.clients() - working) + limits.lingering() + acceptSlack;
+  }
+
+  /** Idle clients may fill all that is left, and there is still room for discovery, probes and the second address. */
+  @Property(tries = 2000, seed = "41")
+  void whateverClientsDoTheDescriptorsSuffice(@ForAll @IntRange(min = 128, max = 20_000) int sockets,
+      @ForAll @IntRange(min = 64, max = 4096) int memoryMb, @ForAll @IntRange(max = 100) int percentWorking) {
+    Limits limits = Limits.of(sockets, memoryMb, 150_000, 5_000_000, 2_000_000);
+    int working = limits.clients() * percentWorking / 100;
+    assertTrue(own(limits) + held(limits, working) <= sockets,
+        own(limits) + " and " + held(limits, working) + " of " + sockets);
+    assertTrue(own(limits) + limits.accepted() <= sockets, "no more are accepted than there is room for");
+  }
+
+  /** Two processes, whose clients together hold a third of the descriptors, however they are dealt out. */
+  @Property(tries = 2000, seed = "42")
+  void twoProcessesFitHoweverTheirClientsAreDealtOut(@ForAll @IntRange(min = 160, max = 20_000) int sockets,
+      @ForAll @IntRange(min = 64, max = 4096) int memoryMb, @ForAll @IntRange(max = 100) int percentOfOne) {
+    Limits limits = Limits.of(sockets, memoryMb, 150_000, 5_000_000, 2_000_000, true, Limits.RINGS_MB);
+    int all = Math.min(sockets / 3, limits.clients());
+    int one = all * percentOfOne / 100;
+    int both = 2 * own(limits) + held(limits, one) + held(limits, all - one);
+    assertTrue(both <= sockets, both + " of " + sockets);
+  }
+
+  /** Each server of a fleet may have its probe link on the largest machine, and a few of them on the smallest. */
+  @Test
+  void probeLinksGrowWithTheDescriptors() {
+    assertEquals(16, Limits.of(128, 192, 150_000, 5_000_000, 2_000_000).probeLinks());
+    assertTrue(Limits.of(1024, 192, 150_000, 5_000_000, 2_000_000).probeLinks() >= 90);
+  }
+
   /**
    * Each client holds a ring a direction: rings bound clients where descriptors don't, by the operator's bound or by an
    * eighth of the memory, whichever is less.
