Make a probe anew that crossed with the end of its idle link

Cause: Prober.ended and .broken told each probe that was out as RESET. A server that closes its idle links, by a FIN or a reset in the instant in which a probe is written to one, was passed over for a second though nothing was wrong with it. A link that has brought an answer is made anew once, and what comes of that is told. A link that ends under its first probe is told as before, and so is the second one.

Measured: DescriptorsTest, green. Without the mend aProbeThatCrossesWithTheEndOfAnIdleLinkIsMadeAnew and aServerThatEndsEachLinkUnderItsProbeIsTold are red.

--- a/proxy/src/main/java/lemondeal/proxy/Prober.java
+++ b/proxy/src/main/java/lemondeal/proxy/Prober.java
@@ -30,6 +30,8 @@
   private Timers.Timer timer;
   /** Whether the link has a place in the pool. */
   private boolean placed;
+  /** Whether the link has brought an answer already: then its server may have ended it as a probe went out. */
+  private boolean proven;
   private boolean over;
 
   /** {@code closed} is run when this prober is of no more use. */
@@ -151,6 +153,7 @@
       end(Outcome.ERROR);
       return;
     }
+    proven = true;
     if (asked.size() == 1) {
       pool().idle(this);
       arm(context.limits().probeIdle(), Outcome.CANCELLED);
@@ -172,8 +175,18 @@
     lost();
   }
 
+  /**
+   * Guards the server that closes an idle link as a probe is written to it: the probe is made anew, once, on a link of its
+   * own, and only what comes of that is told.
+   */
   private void lost() {
-    end(Outcome.RESET);
+    if (proven && !asked.isEmpty()) {
+      proven = false;
+      disconnect();
+      open();
+    } else {
+      end(Outcome.RESET);
+    }
   }
 
   @Override
--- a/proxy/src/test/java/lemondeal/proxy/DescriptorsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/DescriptorsTest.java
@@ -12,6 +12,7 @@
 import lemondeal.Balancer.Probe;
 import lemondeal.Balancer.ProbeResult;
 import lemondeal.Balancer.Wake;
+import lemondeal.proxy.Site.Held;
 import lemondeal.proxy.Site.Peer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -113,4 +114,65 @@
       }
     }
   }
+
+  /** The server closes the idle link, and the probe is written before that is seen: its server was passed over for it. */
+  @Test
+  void aProbeThatCrossesWithTheEndOfAnIdleLinkIsMadeAnew() throws Exception {
+    for (boolean reset : new boolean[] {false, true}) {
+      try (Site site = site(1)) {
+        Peer link = probed(site, 0).send(REPORT);
+        assertResult(site, 0, Outcome.SERVED);
+        try (Held held = site.hold()) {
+          site.proxy.executor().execute(() -> site.proxy.wake(0));
+          end(link, reset);
+        }
+        Peer fresh = site.atServer();
+        assertEquals("STATS", fresh.line());
+        fresh.send(REPORT);
+        assertResult(site, 0, Outcome.SERVED);
+      }
+    }
+  }
+
+  /** The other order: the end is seen first. */
+  @Test
+  void aProbeAfterTheEndOfAnIdleLinkHasALinkOfItsOwn() throws Exception {
+    for (boolean reset : new boolean[] {false, true}) {
+      try (Site site = site(1)) {
+        Peer link = probed(site, 0).send(REPORT);
+        assertResult(site, 0, Outcome.SERVED);
+        end(link, reset);
+        site.settle();
+        probed(site, 0).send(REPORT);
+        assertResult(site, 0, Outcome.SERVED);
+      }
+    }
+  }
+
+  /** A link that has brought no answer yet is no idle one; and it is made anew once, not for ever. */
+  @Test
+  void aServerThatEndsEachLinkUnderItsProbeIsTold() throws Exception {
+    try (Site site = site(1)) {
+      probed(site, 0).close();
+      assertResult(site, 0, Outcome.RESET);
+      Peer link = probed(site, 0).send(REPORT);
+      assertResult(site, 0, Outcome.SERVED);
+      probe(site, 0);
+      assertEquals("STATS", link.line());
+      link.close();
+      Peer fresh = site.atServer();
+      assertEquals("STATS", fresh.line());
+      fresh.close();
+      assertResult(site, 0, Outcome.RESET);
+    }
+  }
+
+  private static void end(Peer link, boolean reset) throws Exception {
+    if (reset) {
+      link.reset();
+    } else {
+      link.endSending();
+    }
+    link.awaitEndQueued();
+  }
 }
