Time each probe from its own asking

Cause: Prober.ask set the time for an answer anew with each probe. The module asks a server of which it has no news again as requests come, from 25 ms on: at a server that hangs under traffic of more than one request a second the time was never up, and no probe ever told that it hangs. The time is the oldest probe's now, or the link's if that is younger.

Measured: DescriptorsTest, green. Without the mend aServerThatHangsIsToldThoughItIsAskedAgain is red.

--- a/proxy/src/main/java/lemondeal/proxy/Prober.java
+++ b/proxy/src/main/java/lemondeal/proxy/Prober.java
@@ -27,6 +27,7 @@
   private LineParser lines;
   private Dial dial;
   private Link link;
+  private long openedAt;
   private Timers.Timer timer;
   /** Whether the link has a place in the pool. */
   private boolean placed;
@@ -69,6 +70,7 @@
     lines = new LineParser(context.limits().lineBytes());
     dial = context.net().dial(address, context.limits().dial(), opened -> {
       link = opened;
+      openedAt = context.now();
       link.start(this);
       for (int i = asked.size(); i > 0 && !over; i--) {
         ask();
@@ -85,8 +87,12 @@
     awaitAnswer();
   }
 
+  /**
+   * Waits for the answer that is due first. Guards against a server that hangs and is asked again before the time is up:
+   * counted from the last probe, the time never was.
+   */
   private void awaitAnswer() {
-    arm(context.limits().probe(), Outcome.TIMED_OUT);
+    arm(Math.max(asked.peek(), openedAt) + context.limits().probe() - context.now(), Outcome.TIMED_OUT);
   }
 
   private void arm(long micros, Outcome outcome) {
@@ -163,6 +169,9 @@
       case BUSY -> tell(Outcome.REFUSED, null);
       default -> tell(Outcome.ERROR, null);
     }
+    if (!over && !asked.isEmpty()) {
+      awaitAnswer();
+    }
   }
 
   @Override
--- a/proxy/src/test/java/lemondeal/proxy/DescriptorsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/DescriptorsTest.java
@@ -21,6 +21,7 @@
 @Timeout(60)
 class DescriptorsTest {
   private static final String REPORT = "PONG inflight=7\r\n";
+  private static final long SECOND = 1_000_000;
 
   /** A wake with a server's number probes that server. */
   private static List<Action> probeWoken(Event event) {
@@ -175,4 +176,37 @@
     }
     link.awaitEndQueued();
   }
+
+  /** Each further probe once began the time anew, and a server that hangs under traffic was never told. */
+  @Test
+  void aServerThatHangsIsToldThoughItIsAskedAgain() throws Exception {
+    try (Site site = site(1)) {
+      Peer link = probed(site, 0);
+      for (int i = 0; i < 3; i++) {
+        site.jump(3 * SECOND / 10);
+        probe(site, 0);
+        assertEquals("STATS", link.line());
+      }
+      site.jump(2 * SECOND / 10);
+      assertEquals(4, site.events.stream().filter(ProbeResult.class::isInstance).count(), "told by now");
+      for (int i = 0; i < 4; i++) {
+        assertResult(site, 0, Outcome.TIMED_OUT);
+      }
+    }
+  }
+
+  /** An answer in time leaves the next one its own time. */
+  @Test
+  void eachProbeHasItsOwnTime() throws Exception {
+    try (Site site = site(1)) {
+      Peer link = probed(site, 0);
+      site.jump(6 * SECOND / 10);
+      probe(site, 0);
+      link.send(REPORT);
+      assertResult(site, 0, Outcome.SERVED);
+      site.jump(6 * SECOND / 10);
+      link.send(REPORT);
+      assertResult(site, 0, Outcome.SERVED);
+    }
+  }
 }
