Keep callers of the second address apart from clients to their end

Causes, both in Caller.answer: behind its reply a caller's connection went among the clients' lingering ones, and took the place of one that had its last answer still to read; and a reply longer than a ring buffer (the figures of some sixty classes) failed inside, so that the caller got nothing. A caller stays among the callers until it closes, half a second behind its reply at most, and a reply goes out as there is room for it.

Measured: FloodCrossingsTest and AdminTest, green. With the old Caller aFloodAtTheSecondAddressTakesNoClientsPlace and aReplyLongerThanABufferArrivesWhole are red.

--- a/proxy/src/main/java/lemondeal/admin/Admin.java
+++ b/proxy/src/main/java/lemondeal/admin/Admin.java
@@ -6,9 +6,9 @@
 import lemondeal.net.Link;
 
 /**
- * The second address, for the operators' staff: a connection brings one line and gets one reply. Connections that
- * have not brought a whole call are bounded and timed by themselves; beyond the bound the oldest goes, so that
- * whoever keeps one for nothing shuts nobody out.
+ * The second address, for the operators' staff: a connection brings one line and gets one reply. Its connections are
+ * bounded and timed by themselves; beyond the bound the oldest goes, so that whoever keeps one for nothing shuts nobody
+ * out.
  */
 public final class Admin {
 
--- a/proxy/src/main/java/lemondeal/admin/Caller.java
+++ b/proxy/src/main/java/lemondeal/admin/Caller.java
@@ -1,6 +1,7 @@
 package lemondeal.admin;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.function.UnaryOperator;
 import lemondeal.codec.LineParser;
 import lemondeal.codec.ProtocolException;
@@ -9,7 +10,10 @@
 import lemondeal.net.Link;
 import lemondeal.net.Timers;
 
-/** One connection to the second address: a line, its reply, the end. */
+/**
+ * One connection to the second address: a line, its reply, the end. It is bounded with the other callers until it closes,
+ * also behind its reply: among the clients' lingering connections it would take the place of one of theirs.
+ */
 final class Caller implements Link.Owner {
   private final Limits limits;
   private final Link link;
@@ -17,6 +21,11 @@
   private final UnaryOperator<String> replies;
   private final LineParser lines;
   private Timers.Timer timer;
+  /** What is still to be sent of the reply; null before it. */
+  private ByteBuffer reply;
+  /** Bytes still read behind the call: none must be left when the connection closes, or it is reset. */
+  private int left;
+  private boolean ended;
 
   Caller(Limits limits, Link link, EvictingSet<Caller> callers, UnaryOperator<String> replies) {
     this.limits = limits;
@@ -24,6 +33,7 @@
     this.callers = callers;
     this.replies = replies;
     lines = LineParser.ofEitherEnd(limits.adminLine());
+    left = limits.lingerBytes();
   }
 
   void start() {
@@ -34,11 +44,19 @@
 
   @Override
   public int room() {
-    return limits.adminLine();
+    return reply == null ? limits.adminLine() : left;
   }
 
   @Override
   public void received(ByteBuffer bytes) {
+    if (reply == null) {
+      call(bytes);
+    }
+    left -= bytes.remaining();
+    bytes.position(bytes.limit());
+  }
+
+  private void call(ByteBuffer bytes) {
     try {
       String line = lines.next(bytes);
       if (line != null) {
@@ -47,29 +65,49 @@
     } catch (ProtocolException e) {
       answer("400 no line\r\n");
     }
-    bytes.position(bytes.limit());
   }
 
-  private void answer(String reply) {
-    leave();
-    link.send(reply);
-    link.finish();
+  private void answer(String text) {
+    reply = ByteBuffer.wrap(text.getBytes(StandardCharsets.ISO_8859_1));
+    sendOn();
   }
 
-  /** Ends the connection without a word. */
-  void drop() {
-    leave();
-    link.close();
+  /** Sends as much of the reply as there is room for: the figures of many classes are longer than a ring. */
+  private void sendOn() {
+    while (reply.hasRemaining() && link.free() > 0) {
+      ByteBuffer part = reply.slice().limit(Math.min(link.free(), reply.remaining()));
+      reply.position(reply.position() + part.remaining());
+      link.send(part);
+    }
+    if (!reply.hasRemaining()) {
+      link.endSending();
+      Timers.cancel(timer);
+      timer = link.after(limits.linger(), this::drop);
+      dropIfDone();
+    }
   }
 
-  private void leave() {
+  private void dropIfDone() {
+    if (ended && !reply.hasRemaining() && link.isFlushed()) {
+      drop();
+    }
+  }
+
+  /** Ends the connection. */
+  void drop() {
     Timers.cancel(timer);
     callers.leave(this);
+    link.close();
   }
 
   @Override
   public void ended() {
-    drop();
+    ended = true;
+    if (reply == null) {
+      drop();
+    } else {
+      dropIfDone();
+    }
   }
 
   @Override
@@ -79,6 +117,9 @@
 
   @Override
   public void flushed() {
-    // The reply goes out with the end of the connection.
+    if (reply.hasRemaining()) {
+      sendOn();
+    }
+    dropIfDone();
   }
 }
--- a/proxy/src/main/java/lemondeal/config/Limits.java
+++ b/proxy/src/main/java/lemondeal/config/Limits.java
@@ -31,7 +31,7 @@
  * @param lingering closed sides still read at once; beyond, the oldest goes
  * @param accepted connections accepted at once, of whatever kind
  * @param accepts connections accepted before those that are open have their turn
- * @param adminCallers connections to the second address that have not brought a whole call; beyond, the oldest goes
+ * @param adminCallers connections to the second address, also those behind their reply; beyond, the oldest goes
  * @param adminLine longest call there
  * @param adminCall whoever has not brought a whole call by then is sent away
  * @param listWithin the list held at the start is served from when discovery has told none by then
--- a/proxy/src/test/java/lemondeal/proxy/FloodCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/FloodCrossingsTest.java
@@ -20,6 +20,9 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import lemondeal.Balancer.Arrived;
 import lemondeal.Balancer.Ended;
@@ -273,4 +276,78 @@
     return ManagementFactory.getPlatformMXBeans(BufferPoolMXBean.class)
         .stream().filter(pool -> pool.getName().equals("direct")).findFirst().orElseThrow().getCount();
   }
+
+  // ---- The second address ---------------------------------------------------------------------
+
+  /** Callers behind their replies once took the places of clients that still had to read their last answer. */
+  @Test
+  void aFloodAtTheSecondAddressTakesNoClientsPlace() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce, "", 128)) {
+      List<Peer> answered;
+      long from;
+      do {
+        // On a machine so busy that their time is over before the look at them, the look tells nothing: once more.
+        answered = new ArrayList<>();
+        from = System.nanoTime();
+        for (int i = 0; i < site.limits().lingering(); i++) {
+          answered.add(site.client().send("garbage\r\n"));
+          assertEquals("ERR", answered.get(i).line());
+        }
+        for (int i = 0; i < site.limits().adminCallers() - 1; i++) {
+          assertTrue(site.caller().send("ready\r\n").line().matches("(200 yes|400 no)"));
+        }
+        try (Held held = site.hold()) {
+          if (System.nanoTime() - from < site.limits().linger() * 900) {
+            for (Peer client : answered) {
+              assertTrue(isHeld(client.socket), "closed before its time was up");
+            }
+          }
+        }
+      } while (System.nanoTime() - from >= site.limits().linger() * 900);
+    }
+  }
+
+  /** Whether a program has the socket open that this one is connected to: the system names its inode then. */
+  private static boolean isHeld(Socket peer) throws IOException {
+    String ends = String.format(":%04X [0-9A-F]+:%04X ", peer.getPort(), peer.getLocalPort());
+    for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
+      for (String line : Files.readAllLines(Path.of(table))) {
+        if (Pattern.compile(ends).matcher(line).find()) {
+          return !line.trim().split("\\s+")[9].equals("0");
+        }
+      }
+    }
+    return false;
+  }
+
+  /** The figures of many classes once failed inside: they were longer than the buffer. */
+  @Test
+  void aReplyLongerThanABufferArrivesWhole() throws Exception {
+    String classes = IntStream.range(0, 200).mapToObj(i -> "{\"name\":\"a-class-with-a-long-name-" + i
+        + "\",\"semantics\":\"idempotent\",\"aim\":1000000,\"hardLimit\":2000000}").collect(Collectors.joining(","));
+    try (Site site = Site.of(ProxyTest::sendOnce, setup -> setup.config = text ->
+        text.replace("\"profiles\":[", "\"profiles\":[" + classes + ",").replace("[60000]", "[" + "60000,".repeat(200) + "60000]"))) {
+      Peer caller = site.caller().send("show-stat\n");
+      List<String> lines = new ArrayList<>();
+      for (String line = caller.line(); line != null; line = caller.line()) {
+        lines.add(line);
+      }
+      assertEquals("EOF", lines.get(lines.size() - 1));
+      for (int i = 0; i < 200; i++) {
+        assertTrue(lines.contains("failed.a-class-with-a-long-name-" + i + "=0"));
+      }
+    }
+  }
+
+  /** One that sends on behind its call gets its reply, and is not read without end. */
+  @Test
+  void aCallerThatSendsOnGetsItsReply() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer caller = site.caller().send("ready\r\n" + "x".repeat(1000));
+      assertTrue(caller.line().matches("(200 yes|400 no)"));
+      assertNull(caller.line());
+      site.jump(site.limits().linger());
+      assertEquals(0, site.figure("in_flight"));
+    }
+  }
 }
