Never let the second address reach the count at which accepting stops

Cause: at CONNECTION_HIGH_WATER connections XNIO stops accepting, and goes on only when the count before a close is at the low water or under it: with low water one less, when a second one has closed. Admin sent the oldest of nine callers away, which left eight and the accepting stopped, for up to 5 s if none of them ended its line: nobody else was answered. Admin holds one fewer, so that the count is not reached.

--- a/proxy/src/main/java/lemondeal/admin/Admin.java
+++ b/proxy/src/main/java/lemondeal/admin/Admin.java
@@ -24,6 +24,12 @@
   private static final String READY = "ready";
   private static final String FIGURES = "show-stat";
 
+  /**
+   * Kept free for one just accepted. Guards against a full table that stops the library's accepting: it goes on only when
+   * a second connection has closed, and callers without a call once shut all others out for their five seconds.
+   */
+  private static final int ONE_COMING = 1;
+
   private final Limits limits;
   private final Subject subject;
   private final EvictingSet<Caller> callers;
@@ -31,7 +37,7 @@
   public Admin(Limits limits, Subject subject) {
     this.limits = limits;
     this.subject = subject;
-    callers = new EvictingSet<>(limits::adminCallers, Caller::drop);
+    callers = new EvictingSet<>(() -> limits.adminCallers() - ONE_COMING, Caller::drop);
   }
 
   public void accepted(Link link) {
--- a/proxy/src/test/java/lemondeal/proxy/AdminTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/AdminTest.java
@@ -61,6 +61,21 @@
     }
   }
 
+  /** Once as many had come as the library takes, it stopped accepting until two had gone, and not one. */
+  @Test
+  void callersWhoNeverEndTheirLineKeepNobodyInTheQueue() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      for (int i = 0; i < 3 * site.limits().adminCallers(); i++) {
+        site.caller().send("sho");
+        site.settle();
+      }
+      Peer caller = site.caller().send("ready\r\n");
+      site.settle();
+      assertEquals(0, KernelSockets.queued(site.proxy.adminAddress().getPort()), "left in the queue");
+      assertTrue(caller.line().matches("(200 yes|400 no)"));
+    }
+  }
+
   /** Ready was once the same as listening: clients came before there was a server to send them to. */
   @Test
   void readyOnceDiscoveryHasToldAListAndNotDuringAStop() throws Exception {
