--- a/proxy/src/main/java/lemondeal/admin/Admin.java
+++ b/proxy/src/main/java/lemondeal/admin/Admin.java
@@ -25,8 +25,8 @@
   private static final String FIGURES = "show-stat";
 
   /**
-   * Kept free for one just accepted. Guards against a full table that stops the library's accepting: it goes on only when
-   * a second connection has closed, and callers without a call once shut all others out for their five seconds.
+   * Kept free for one just accepted. Guards against a full table that stops the library's accepting: it goes on only
+   * when a second connection has closed, and callers without a call once shut all others out for their five seconds.
    */
   private static final int ONE_COMING = 1;
 
--- a/proxy/src/main/java/lemondeal/admin/Caller.java
+++ b/proxy/src/main/java/lemondeal/admin/Caller.java
@@ -11,8 +11,8 @@
 import lemondeal.net.Timers;
 
 /**
- * One connection to the second address: a line, its reply, the end. It is bounded with the other callers until it closes,
- * also behind its reply: among the clients' lingering connections it would take the place of one of theirs.
+ * One connection to the second address: a line, its reply, the end. It is bounded with the other callers until it
+ * closes, also behind its reply: among the clients' lingering connections it would take the place of one of theirs.
  */
 final class Caller implements Link.Owner {
   private final Limits limits;
--- a/proxy/src/main/java/lemondeal/config/Limits.java
+++ b/proxy/src/main/java/lemondeal/config/Limits.java
@@ -12,8 +12,8 @@
  * <li>calls to discovery, and descriptors whose closing waits for the selector;
  * <li>{@link #probeLinks};
  * <li>two for each client link with a request, its own and one to a server: an attempt ends before the next begins;
- * <li>pending and lingering connections, and those that an accept brings before the oldest goes. What client links leave
- * free is theirs meanwhile.
+ * <li>pending and lingering connections, and those that an accept brings before the oldest goes. What client links
+ * leave free is theirs meanwhile.
  * </ul>
  *
  * <p>An operator's own file may switch on parts that hold more (a fleet's transport, Consul, stores).
@@ -121,8 +121,8 @@
 
   /**
    * The same for a process that may share the machine with the one before it or after it. Clients together hold a
-   * third of the descriptors at most, and no more than one process takes, wherever they are; all else that both hold has to
-   * fit beside them, also the idle connections that either takes for its free slots.
+   * third of the descriptors at most, and no more than one process takes, wherever they are; all else that both hold
+   * has to fit beside them, also the idle connections that either takes for its free slots.
    *
    * @param ringsMb megabytes that rings may take at most: {@link #RINGS_MB} on the platform
    */
--- a/proxy/src/main/java/lemondeal/net/LinkPool.java
+++ b/proxy/src/main/java/lemondeal/net/LinkPool.java
@@ -4,8 +4,8 @@
 import java.util.Set;
 
 /**
- * Bounds the links that are kept to be used again, each of which holds a descriptor. For a new one the link that has been
- * idle for the longest is given up; where none is idle there is no room.
+ * Bounds the links that are kept to be used again, each of which holds a descriptor. For a new one the link that has
+ * been idle for the longest is given up; where none is idle there is no room.
  */
 public final class LinkPool {
 
--- a/proxy/src/main/java/lemondeal/proxy/Prober.java
+++ b/proxy/src/main/java/lemondeal/proxy/Prober.java
@@ -88,8 +88,8 @@
   }
 
   /**
-   * Waits for the answer that is due first. Guards against a server that hangs and is asked again before the time is up:
-   * counted from the last probe, the time never was.
+   * Waits for the answer that is due first. Guards against a server that hangs and is asked again before the time is
+   * up: counted from the last probe, the time never was.
    */
   private void awaitAnswer() {
     arm(Math.max(asked.peek(), openedAt) + context.limits().probe() - context.now(), Outcome.TIMED_OUT);
@@ -185,8 +185,8 @@
   }
 
   /**
-   * Guards the server that closes an idle link as a probe is written to it: the probe is made anew, once, on a link of its
-   * own, and only what comes of that is told.
+   * Guards the server that closes an idle link as a probe is written to it: the probe is made anew, once, on a link of
+   * its own, and only what comes of that is told.
    */
   private void lost() {
     if (proven && !asked.isEmpty()) {
