--- a/proxy/src/test/java/lemondeal/proxy/AdminTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/AdminTest.java
@@ -61,6 +61,19 @@
     }
   }
 
+  /** Once as many had come as the library takes, it stopped accepting until two had gone, and not one. */
+  @Test
+  void callersWhoNeverEndTheirLineKeepNobodyInTheQueue() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      long from = System.nanoTime();
+      for (int i = 0; i < 3 * site.limits().adminCallers(); i++) {
+        site.caller().send("sho");
+      }
+      assertTrue(site.caller().send("ready\r\n").line().matches("(200 yes|400 no)"));
+      assertTrue(System.nanoTime() - from < site.limits().adminCall() * 1000, "answered once their time was over");
+    }
+  }
+
   /** Ready was once the same as listening: clients came before there was a server to send them to. */
   @Test
   void readyOnceDiscoveryHasToldAListAndNotDuringAStop() throws Exception {
