Hear SIGTERM from before the first client is let in, not after the start is done

Serve.run registered its shutdown hook last, behind proxy.start() and the lines that tell the addresses, while the I/O thread had been accepting and sending requests on since start(). A SIGTERM in between (short on a whole core, longer on part of one, without end where the log can't be written) ended the program on the spot: whoever was inside was cut off.

Ruled out: the JVM holds no signal back for a hook that comes later, so the order of the lines alone decides.

The hook is registered before the start and waits until that has settled: RUNNING stops politely, REFUSED ends with the start's own exit code. A SIGTERM before the hook finds nothing listened on; one that ends the process while it is being registered starts nothing.

Test: ShutdownCrossingsTest.theOrderIsHeardFromTheFirstClientOn holds the program in its first log line, a client inside, and sends SIGTERM. Red with the registration put back behind the start: the connection ended with no answer. moreSignalsChangeNothing (SIGTERM twice, SIGHUP beside it) was right before, and is.

--- a/proxy/src/main/java/lemondeal/Serve.java
+++ b/proxy/src/main/java/lemondeal/Serve.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import lemondeal.config.Addresses;
 import lemondeal.config.Config;
 import lemondeal.config.ConfigException;
@@ -12,12 +13,28 @@
 import lemondeal.proxy.Proxy;
 import lemondeal.trace.Traced;
 
-/** Runs one real proxy until SIGTERM. */
+/**
+ * Runs one real proxy until SIGTERM. The order is heard before the first client can be let in: a process that ends
+ * without it cuts off whoever it has accepted.
+ */
 public final class Serve {
   /** What can't be used was said in a line for each fault. */
   private static final int BAD_USE = 2;
 
-  private Serve() {}
+  private enum State { STARTING, RUNNING, REFUSED }
+
+  private final Proxy proxy;
+  /** Null where there is no operator's file. */
+  private final Extras extras;
+  private final EventLog log;
+  private final CountDownLatch settled = new CountDownLatch(1);
+  private volatile State state = State.STARTING;
+
+  private Serve(Proxy proxy, Extras extras, EventLog log) {
+    this.proxy = proxy;
+    this.extras = extras;
+    this.log = log;
+  }
 
   /**
    * Starts the proxy; its threads go on when this returns.
@@ -39,17 +56,10 @@
       Reload reload = new Reload(config, environment, proxy::reconfigure, log,
           extras == null ? () -> { } : extras::reload);
       Hangup.handle(reload::request);
-      proxy.start();
-      if (extras != null) {
-        extras.begin(proxy);
-      }
-      String address = Addresses.text(proxy.localAddress());
-      log.info("listening", "lemondeal: listening on " + address, "address", address);
-      if (proxy.adminAddress() != null) {
-        String second = Addresses.text(proxy.adminAddress());
-        log.info("second-address", "lemondeal: second address " + second, "address", second);
+      Serve serve = new Serve(proxy, extras, log);
+      if (serve.hearsTheOrder()) {
+        serve.start();
       }
-      Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(proxy, extras, log), "stop"));
       return 0;
     } catch (ConfigException | IOException e) {
       for (String line : e.getMessage().split("\n")) {
@@ -65,9 +75,52 @@
         : new Traced(module, log, config.name(), System::currentTimeMillis);
   }
 
-  /** Runs on SIGTERM; the process ends when this returns. */
-  private static void stop(Proxy proxy, Extras extras, EventLog log) {
+  /** From now on SIGTERM runs {@link #stop}; false if the process is ending already. */
+  private boolean hearsTheOrder() {
     try {
+      Runtime.getRuntime().addShutdownHook(new Thread(this::stop, "stop"));
+      return true;
+    } catch (IllegalStateException e) {
+      return false;
+    }
+  }
+
+  private void start() throws IOException {
+    State reached = State.REFUSED;
+    try {
+      proxy.start();
+      settle(State.RUNNING);
+      if (extras != null) {
+        extras.begin(proxy);
+      }
+      reached = State.RUNNING;
+    } finally {
+      settle(reached);
+    }
+    tellAddresses();
+  }
+
+  private void settle(State reached) {
+    state = reached;
+    settled.countDown();
+  }
+
+  private void tellAddresses() {
+    String address = Addresses.text(proxy.localAddress());
+    log.info("listening", "lemondeal: listening on " + address, "address", address);
+    if (proxy.adminAddress() != null) {
+      String second = Addresses.text(proxy.adminAddress());
+      log.info("second-address", "lemondeal: second address " + second, "address", second);
+    }
+  }
+
+  /** Runs on SIGTERM, and after a start that was refused; the process ends when this returns. */
+  private void stop() {
+    try {
+      settled.await();
+      if (state == State.REFUSED) {
+        return;
+      }
       log.info("stopping", "lemondeal: stopping");
       proxy.stop();
       if (extras != null) {
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
@@ -0,0 +1,126 @@
+package lemondeal.proxy;
+
+import static lemondeal.proxy.ProxyTest.OPEN;
+import static lemondeal.proxy.ProxyTest.up;
+import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Consumer;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.ClientGone;
+import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.Event;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.Refuse;
+import lemondeal.Balancer.Send;
+import lemondeal.Balancer.Wake;
+import lemondeal.Balancer.WakeAfter;
+import lemondeal.config.Limits;
+import lemondeal.log.PlainLog;
+import lemondeal.net.Faults;
+import lemondeal.net.Link;
+import lemondeal.net.Listener;
+import lemondeal.net.Net;
+import lemondeal.proxy.Site.Held;
+import lemondeal.proxy.Site.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The order to stop beside what else comes in the same instant, in the one order and in the other. */
+@Timeout(60)
+class ShutdownCrossingsTest {
+  /** The time for a first line is longer than a stop with this deadline. */
+  private static final long SHORT = 800_000;
+  private static final long TICK = 10_000;
+  private static final long PATIENCE_MS = 5_000;
+
+  @TempDir
+  Path folder;
+
+  private static Site site(long longestDeadline) throws IOException {
+    return new Site(ProxyTest::sendOnce, longestDeadline);
+  }
+
+  private static long toLastAnswers(Site site) {
+    return site.limits().drainMost() - site.limits().linger() + TICK;
+  }
+
+  // ---- The queue -----------------------------------------------------------------------------
+
+  private static Socket connect(InetSocketAddress address) throws IOException {
+    return new Socket(address.getAddress(), address.getPort());
+  }
+
+  // ---- Attempts ------------------------------------------------------------------------------
+
+  /** The module holds a request whose first attempt failed, and sends it again when it is woken. */
+  private static List<Action> repeatLater(Event event) {
+    if (event instanceof Arrived e) {
+      return List.of(new Send(e.request().id(), Site.SERVER, 0));
+    }
+    if (event instanceof Ended e && !e.over()) {
+      return e.attempt() == 0 ? List.of(new WakeAfter(300_000, Long.parseLong(e.id(), 16)))
+          : List.of(new Refuse(e.id(), 250_000));
+    }
+    if (event instanceof Wake e) {
+      return List.of(new Send(Long.toHexString(e.token()), Site.SERVER, 0));
+    }
+    return List.of();
+  }
+
+  // ---- The program ---------------------------------------------------------------------------
+
+  /**
+   * A client is inside and the program has not told where it listens, since its log can't be written: the order is heard
+   * all the same. It once ended the program on the spot, until all of the start was done.
+   */
+  @Test
+  void theOrderIsHeardFromTheFirstClientOn() throws Exception {
+    try (StartedProgram program = StartedProgram.withFullLog(folder)) {
+      Peer client = program.client().send("OPEN 0000000000000001 k c=chat,d=2000,at=s-1\r\n");
+      Peer server = program.atServer();
+      assertTrue(server.line().startsWith("OPEN "));
+      program.order();
+      program.emptyLog();
+      server.send("UP r1\r\n");
+      assertEquals("UP r1", client.line());
+      assertEquals("MOVE", client.line());
+      assertNull(client.line());
+      assertEquals(0, program.exitCode());
+    }
+  }
+
+  /** SIGTERM again, and SIGHUP: what is owed is paid all the same. */
+  @Test
+  void moreSignalsChangeNothing() throws Exception {
+    try (StartedProgram program = StartedProgram.withFullLog(folder)) {
+      program.emptyLog();
+      Peer client = program.client().send("OPEN 0000000000000001 k c=chat,d=2000,at=s-1\r\n");
+      Peer server = program.atServer();
+      server.line();
+      server.send("UP r1\r\n");
+      assertEquals("UP r1", client.line());
+      program.order();
+      program.signal("HUP");
+      program.signal("TERM");
+      assertEquals("MOVE", client.line());
+      assertNull(client.line());
+      assertEquals(0, program.exitCode());
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/proxy/StartedProgram.java
@@ -0,0 +1,149 @@
+package lemondeal.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import java.util.stream.Stream;
+import lemondeal.proxy.Site.Peer;
+
+/** The program as it is started, with one server and a log that stands still until the test empties it. */
+final class StartedProgram implements AutoCloseable {
+  private static final int PATIENCE_S = 30;
+  /** Writes to the log until that takes no more, and becomes the program. */
+  private static final String FILL = "my $f = fcntl(STDERR, F_GETFL, 0); fcntl(STDERR, F_SETFL, $f | O_NONBLOCK);"
+      + " 1 while defined syswrite(STDERR, 'x'); fcntl(STDERR, F_SETFL, $f); exec(@ARGV) or die $!";
+  private static final String LISTENING = "0A";
+
+  private final ServerSocket server;
+  private final Process process;
+
+  private StartedProgram(ServerSocket server, Process process) {
+    this.server = server;
+    this.process = process;
+  }
+
+  static StartedProgram withFullLog(Path folder) throws IOException {
+    ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    server.setSoTimeout(PATIENCE_S * 1000);
+    String known = "[{\"instanceId\":\"s-1\",\"hostPort\":\"127.0.0.1:" + server.getLocalPort()
+        + "\",\"zone\":\"a\",\"machineType\":\"toy\",\"lifecycle\":\"in_service\"}]";
+    Path file = Files.writeString(folder.resolve("config.json"), Files.readString(Path.of("../example/config.json"))
+        .replace("\"instances\": []", "\"instances\": " + known));
+    // The library's own words at its start would stand still there.
+    Path quiet = Files.writeString(folder.resolve("logging.properties"), ".level=OFF\n");
+    ProcessBuilder builder = new ProcessBuilder("perl", "-MFcntl", "-e", FILL,
+        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+        "-Djava.util.logging.config.file=" + quiet, "-cp",
+        System.getProperty("java.class.path"), "lemondeal.Main", "serve");
+    builder.environment().putAll(Map.of("GW_CONFIG", file.toString(), "GW_LISTEN", "127.0.0.1:0",
+        "GW_DISCOVERY", "127.0.0.1:1"));
+    Process process = builder.start();
+    CompletableFuture.delayedExecutor(PATIENCE_S, TimeUnit.SECONDS).execute(process::destroyForcibly);
+    return new StartedProgram(server, process);
+  }
+
+  Peer client() throws IOException {
+    while (listening().isEmpty()) {
+      assertTrue(process.isAlive(), "the program ended");
+      Thread.onSpinWait();
+    }
+    return new Peer(new Socket(InetAddress.getLoopbackAddress(), listening().get(0)));
+  }
+
+  /** Ports on which the program listens, as the system tells them. */
+  private List<Integer> listening() throws IOException {
+    List<String> sockets = names("/proc/" + process.pid() + "/fd", StartedProgram::target);
+    try (Stream<String> rows = Stream.of("/proc/net/tcp", "/proc/net/tcp6").map(Path::of).filter(Files::exists)
+        .flatMap(StartedProgram::lines)) {
+      return rows.map(row -> row.trim().split("\\s+"))
+          .filter(row -> row[3].equals(LISTENING) && sockets.contains("socket:[" + row[9] + "]"))
+          .map(row -> Integer.parseInt(row[1].substring(row[1].indexOf(':') + 1), 16)).toList();
+    }
+  }
+
+  private static Stream<String> lines(Path table) {
+    try {
+      return Files.readAllLines(table).stream();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static List<String> names(String folder, Function<Path, String> name) throws IOException {
+    if (!Files.exists(Path.of(folder))) {
+      return List.of();
+    }
+    try (Stream<Path> entries = Files.list(Path.of(folder))) {
+      return entries.map(name).toList();
+    }
+  }
+
+  private static String target(Path link) {
+    try {
+      return Files.readSymbolicLink(link).toString();
+    } catch (IOException e) {
+      return "gone";
+    }
+  }
+
+  private static String text(Path file) {
+    try {
+      return Files.readString(file).trim();
+    } catch (IOException e) {
+      return "gone";
+    }
+  }
+
+  Peer atServer() throws IOException {
+    return new Peer(server.accept());
+  }
+
+  /** Sends SIGTERM; returns once the program carries it out, or has ended. */
+  void order() throws IOException {
+    process.toHandle().destroy();
+    while (process.isAlive()
+        && !names("/proc/" + process.pid() + "/task", task -> text(task.resolve("comm"))).contains("stop")) {
+      Thread.onSpinWait();
+    }
+  }
+
+  void signal(String name) throws Exception {
+    new ProcessBuilder("sh", "-c", "kill -" + name + " " + process.pid()).start().waitFor();
+  }
+
+  /** From now on the log is read, and not kept. */
+  void emptyLog() {
+    Thread reader = new Thread(() -> {
+      try {
+        process.getErrorStream().transferTo(OutputStream.nullOutputStream());
+      } catch (IOException e) {
+        // The program has ended.
+      }
+    });
+    reader.setDaemon(true);
+    reader.start();
+  }
+
+  int exitCode() throws InterruptedException {
+    assertTrue(process.waitFor(PATIENCE_S, TimeUnit.SECONDS));
+    return process.exitValue();
+  }
+
+  @Override
+  public void close() throws IOException {
+    process.destroyForcibly();
+    server.close();
+  }
+}
