Serve on a request that comes up during the stop until its turn to be moved

With a listening socket of its own, Stop.begin called AdmissionControl.close at once so that newcomers are throttled, and ClientLink.up moves at once whatever comes up while that is closing. So every request under way at SIGTERM was moved in the instant of its UP, while connections that stood were served on for up to two seconds more, as ARCHITECTURE says of both; and it came again while the front still sent clients here, to be throttled.

One flag meant two things. AdmissionControl has named states now: OPEN, THROTTLING (nobody in, those inside stay) and CLOSING (nor may they stay); begin only throttles.

Test: ShutdownCrossingsTest.aRequestThatComesUpDuringTheStopIsServedOn has UP come after the order, and a line go to the server and back before MOVE. Red without: MOVE came behind UP and the server never saw the line.

--- a/proxy/src/main/java/lemondeal/proxy/AdmissionControl.java
+++ b/proxy/src/main/java/lemondeal/proxy/AdmissionControl.java
@@ -2,8 +2,18 @@
 
 /** Lets requests in while there is a slot and the proxy is to run on, and keeps the table of those inside. */
 final class AdmissionControl {
+  /** In this order, and never back. */
+  private enum State {
+    /** Whoever comes is let in while there is a slot. */
+    OPEN,
+    /** Whoever comes is throttled; those inside are served on. */
+    THROTTLING,
+    /** Nobody inside is to stay either. */
+    CLOSING
+  }
+
   private final Requests requests;
-  private boolean closing;
+  private State state = State.OPEN;
   private Runnable emptied = () -> { };
 
   AdmissionControl(Requests requests) {
@@ -11,7 +21,7 @@
   }
 
   boolean admits() {
-    return !closing && !requests.isFull();
+    return state == State.OPEN && !requests.isFull();
   }
 
   /** Whether a request that a client gave this id is inside: nobody else may use the id meanwhile. */
@@ -25,18 +35,24 @@
 
   void leave(String id) {
     requests.remove(id);
-    if (closing && requests.isEmpty()) {
+    if (state == State.CLOSING && requests.isEmpty()) {
       emptied.run();
     }
   }
 
+  /** Whether a request that comes up now is to be moved at once. */
   boolean isClosing() {
-    return closing;
+    return state == State.CLOSING;
+  }
+
+  /** Lets nobody in any more; those inside stay. */
+  void throttle() {
+    state = State.THROTTLING;
   }
 
-  /** Lets nobody in any more; {@code whenEmpty} is run as soon as nobody is left inside. */
+  /** Lets nobody in any more, nor stay; {@code whenEmpty} is run as soon as nobody is left inside. */
   void close(Runnable whenEmpty) {
-    closing = true;
+    state = State.CLOSING;
     emptied = whenEmpty;
     if (requests.isEmpty()) {
       emptied.run();
--- a/proxy/src/main/java/lemondeal/proxy/Stop.java
+++ b/proxy/src/main/java/lemondeal/proxy/Stop.java
@@ -34,7 +34,7 @@
   /** For a process that has the clients' listening socket for itself. */
   void begin(Listener own) {
     endInTime();
-    admission.close(() -> { });
+    admission.throttle();
     timers.after(limits.drainAccept(), () -> {
       own.acceptRestAndClose();
       timers.after(requests.isEmpty() ? 0 : limits.drainHold(), () -> moveWithin(limits.drainSpread()));
--- a/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
@@ -66,6 +66,29 @@
     return new Socket(address.getAddress(), address.getPort());
   }
 
+  // ---- Connections that stand ----------------------------------------------------------------
+
+  /** It was moved as soon as it was up, while others were served on, and came again to a proxy that turned it away. */
+  @Test
+  void aRequestThatComesUpDuringTheStopIsServedOn() throws Exception {
+    try (Site site = site(3_000_000)) {
+      Peer client = site.client(OPEN);
+      Peer server = site.atServer();
+      server.line();
+      Thread stop = Orders.stop(site);
+      site.settle();
+      server.send("UP r1\r\n");
+      assertEquals("UP r1", client.line());
+      client.send("hello\r\n");
+      assertEquals("hello", server.line());
+      server.send("and you\r\n");
+      assertEquals("and you", client.line());
+      assertEquals("MOVE", client.line());
+      assertNull(client.line());
+      stop.join();
+    }
+  }
+
   // ---- Attempts ------------------------------------------------------------------------------
 
   /** The module holds a request whose first attempt failed, and sends it again when it is woken. */
