Empty the listen queue once at a stop, however fast clients come again

Listener.acceptRestAndClose accepted until none waited. Where one more came for each that was let in, it never ended: the I/O thread stood in that loop until SIGKILL, and everybody inside was cut off.

It accepts no more than the queue can have held when it began (the backlog and the one that the system lets in beyond).

Looked at as well: whether the library's high-water mark can refuse while others wait, so that these would be reset. It can't: clients, connections without a line and lingering sides are bounded below it in Limits (t + pending + 2(c - t) + lingering + 1 < 2c + idle for every t), and a bound that is reached closes the oldest at once, in the same call. ShutdownCrossingsTest.everyoneInTheQueueIsAnsweredWhenAllPlacesAreTaken has all slots taken, silent connections at their bound and twice as many in the queue as may be accepted at once: each is told BUSY.

Test: theQueueIsEmptiedOnce connects anew for each connection that is accepted. Red without: 10,000 and no end.

--- a/proxy/src/main/java/lemondeal/net/Listener.java
+++ b/proxy/src/main/java/lemondeal/net/Listener.java
@@ -77,10 +77,11 @@
 
   /**
    * Closes the socket, once all who wait in the system's queue are let in. Guards those who came while this process
-   * was busy: the system resets whoever waits there, though their lines have been taken.
+   * was busy: the system resets whoever waits there, though their lines have been taken. No more are let in than that
+   * queue holds: clients that come again as soon as they are turned away would keep it open without end.
    */
   public void acceptRestAndClose() {
-    while (acceptOne()) {
+    for (int i = 0; i <= BACKLOG && acceptOne(); i++) {
       continue;
     }
     IoUtils.safeClose(server);
--- a/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
@@ -62,6 +62,67 @@
 
   // ---- The queue -----------------------------------------------------------------------------
 
+  /** Slots are taken, and many connections say nothing: still all are let in, within the descriptors, and answered. */
+  @Test
+  void everyoneInTheQueueIsAnsweredWhenAllPlacesAreTaken() throws Exception {
+    try (Site site = Site.of(ProxyTest::sendOnce, setup -> setup.sockets = 256)) {
+      List<Peer> inside = new ArrayList<>();
+      for (int i = 0; i < site.limits().clients(); i++) {
+        inside.add(site.client("c=chat,d=2000"));
+        up(site, inside.get(i));
+      }
+      List<Peer> silent = new ArrayList<>();
+      for (int i = 0; i < site.limits().pending(); i++) {
+        silent.add(site.client().send("PING\r\n"));
+        assertEquals("PONG", silent.get(i).line());
+      }
+      Thread stop = Orders.stop(site);
+      site.settle();
+      Held held = site.hold();
+      List<Peer> waiting = new ArrayList<>();
+      for (int i = 0; i < 2 * site.limits().accepted(); i++) {
+        waiting.add(site.client("c=chat,d=2000"));
+      }
+      site.awaitQueued(waiting.size());
+      waiting.get(waiting.size() - 1).awaitUnread(30);
+      Orders.jump(site, held, site.limits().drainAccept() + TICK).release();
+      for (Peer client : waiting) {
+        assertEquals("BUSY 1000", client.line());
+        assertNull(client.line());
+      }
+      for (Peer client : inside) {
+        assertEquals("MOVE", client.line());
+      }
+      stop.join();
+    }
+  }
+
+  /** Whoever came again as soon as it was turned away kept the socket open, and the stop from going on. */
+  @Test
+  void theQueueIsEmptiedOnce() throws Exception {
+    Limits limits = Limits.of(1024, 192, 500_000, 5_000_000, 2_000_000);
+    Net net = new Net(limits, new Faults(new PlainLog(System.err)));
+    try {
+      AtomicInteger come = new AtomicInteger();
+      Listener[] listener = new Listener[1];
+      Consumer<Link> comeAgain = link -> {
+        link.close();
+        assertTrue(come.incrementAndGet() < 10_000, "there is always one more");
+        assertDoesNotThrow(() -> connect(listener[0].address()).close());
+      };
+      net.run(() -> {
+        listener[0] = net.listen(Listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0)),
+            limits.accepted(), comeAgain);
+        connect(listener[0].address()).close();
+        listener[0].acceptRestAndClose();
+        return null;
+      });
+      assertTrue(come.get() < 10_000, "accepted " + come.get());
+    } finally {
+      net.shutdown();
+    }
+  }
+
   private static Socket connect(InetSocketAddress address) throws IOException {
     return new Socket(address.getAddress(), address.getPort());
   }
