Look at what clients have written before a stop sends them away, and before the end

The system resets a connection that is closed, or left by its process, over unread bytes. Two paths of a stop did that: - The end (Stop, drainMost or linger after the last) let the process halt over whatever lay in its sockets. A client whose first line had arrived in that moment was reset with no answer. - Clients moved together, at the last answers or in the one or two steps that a short deadline leaves, are more than the sides that may linger (Limits.lingering), and the oldest of those is closed at once: over the line that its client had written meanwhile.

Listener knows what it has accepted and is open; Stop ends on the I/O thread, by a last look at each of these, which answers what came, and a close. Each client's socket is read before it is sent away. The states of a stop have names.

Tests: ShutdownCrossingsTest.aLineThatLiesUnreadAtTheEndIsAnswered, red without endAll: no answer was there when the stop was over. bytesThatCrossTheMoveDoNotResetIt (all in the middle of a line, and none), red without readNow: "Broken pipe", the reset, at clients whose connection must have ended.

--- a/proxy/src/main/java/lemondeal/net/Listener.java
+++ b/proxy/src/main/java/lemondeal/net/Listener.java
@@ -4,6 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.Channel;
 import java.nio.channels.ServerSocketChannel;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -25,6 +28,7 @@
   private final int turn;
   private final Consumer<Link> accepted;
   private final AcceptingChannel<? extends StreamConnection> server;
+  private final Set<Link> open = new LinkedHashSet<>();
 
   Listener(Net net, XnioWorker worker, ServerSocketChannel channel, int most, Consumer<Link> accepted)
       throws IOException {
@@ -87,6 +91,18 @@
     IoUtils.safeClose(server);
   }
 
+  /**
+   * Ends all that was accepted here and is still open, after a last look at what has come. Guards the answers sent
+   * last: the system resets a connection that its process leaves with unread bytes, and one whose line lay there
+   * would get no answer at all.
+   */
+  public void endAll() {
+    for (Link link : List.copyOf(open)) {
+      link.readNow();
+      link.close();
+    }
+  }
+
   /**
    * Lets connections in for one turn, and the others when all that is open has had its own. Guards against clients
    * that come again as soon as they are turned away: there was always one more, and nothing was read meanwhile.
@@ -105,6 +121,8 @@
         return false;
       }
       Link link = new Link(net, next);
+      open.add(link);
+      next.setCloseListener(closed -> open.remove(link));
       link.guarded(() -> accepted.accept(link));
       return true;
     } catch (IOException e) {
--- a/proxy/src/main/java/lemondeal/proxy/Stop.java
+++ b/proxy/src/main/java/lemondeal/proxy/Stop.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
 import lemondeal.config.Limits;
 import lemondeal.net.Listener;
 import lemondeal.net.Timers;
@@ -14,6 +15,9 @@
  * process accepts from it too, nothing more is accepted here, and all that was is served.
  */
 final class Stop {
+  /** In this order, and never back. */
+  private enum State { NOT_ORDERED, SERVING, MOVING, OVER }
+
   private final Limits limits;
   private final Timers timers;
   private final AdmissionControl admission;
@@ -21,6 +25,8 @@
   /** Whether connections wait here whose first line has not come. */
   private final BooleanSupplier awaited;
   private final CountDownLatch done = new CountDownLatch(1);
+  private State state = State.NOT_ORDERED;
+  private Listener listener;
   private long movedBy;
 
   Stop(Limits limits, Timers timers, AdmissionControl admission, Requests requests, BooleanSupplier awaited) {
@@ -33,12 +39,13 @@
 
   /** For a process that has the clients' listening socket for itself. */
   void begin(Listener own) {
-    endInTime();
-    admission.throttle();
-    timers.after(limits.drainAccept(), () -> {
-      own.acceptRestAndClose();
-      timers.after(requests.isEmpty() ? 0 : limits.drainHold(), () -> moveWithin(limits.drainSpread()));
-    });
+    if (ordered(own)) {
+      admission.throttle();
+      timers.after(limits.drainAccept(), () -> {
+        own.acceptRestAndClose();
+        timers.after(requests.isEmpty() ? 0 : limits.drainHold(), () -> moveWithin(limits.drainSpread()));
+      });
+    }
   }
 
   /**
@@ -46,26 +53,43 @@
    * count against the upgrade. The others have where to go at once, and so all of the time is used to move them.
    */
   void handOver(Listener shared) {
-    endInTime();
-    shared.suspend();
-    moveWithin(limits.drainAccept() + limits.drainHold() + limits.drainSpread());
+    if (ordered(shared)) {
+      shared.suspend();
+      moveWithin(limits.drainAccept() + limits.drainHold() + limits.drainSpread());
+    }
+  }
+
+  /** From here on its times run. */
+  private boolean ordered(Listener clients) {
+    state = State.SERVING;
+    listener = clients;
+    timers.after(limits.drainMost() - limits.linger(), this::endRequests);
+    timers.after(limits.drainMost(), this::end);
+    return true;
+  }
+
+  void await() throws InterruptedException {
+    done.await();
   }
 
   /**
    * Whoever is still inside shortly before the end gets what is owed. Guards the clients of a server that hangs: one
    * in the middle of a line, and a request that would wait longer than this process may, were cut off without a word.
    */
-  private void endInTime() {
-    timers.after(limits.drainMost() - limits.linger(),
-        () -> requests.all().forEach(client -> client.link().guarded(client::endNow)));
-    timers.after(limits.drainMost(), done::countDown);
+  private void endRequests() {
+    requests.all().forEach(client -> sendAway(client, ClientLink::endNow));
   }
 
-  void await() throws InterruptedException {
-    done.await();
+  private void end() {
+    if (state != State.OVER) {
+      state = State.OVER;
+      listener.endAll();
+      done.countDown();
+    }
   }
 
   private void moveWithin(long micros) {
+    state = State.MOVING;
     movedBy = timers.now() + micros;
     moveSome();
   }
@@ -78,15 +102,22 @@
     long steps = Math.max(0, movedBy - timers.now()) / limits.drainStep();
     List<ClientLink> movable = requests.all().stream().filter(ClientLink::isMovable).toList();
     long share = (movable.size() + steps) / (steps + 1);
-    for (ClientLink client : movable.subList(0, (int) share)) {
-      client.link().guarded(client::move);
-    }
+    movable.subList(0, (int) share).forEach(client -> sendAway(client, ClientLink::move));
     boolean allSeen = movable.size() <= share && !awaited.getAsBoolean();
     if (steps == 0 || allSeen) {
-      // Who comes up from now on is moved at once. What was written last must still arrive before the end.
-      admission.close(() -> timers.after(limits.linger(), done::countDown));
+      // Who comes up from now on is moved at once.
+      admission.close(() -> timers.after(limits.linger(), this::end));
     } else {
       timers.after(limits.drainStep(), this::moveSome);
     }
   }
+
+  /**
+   * Ends this client's connection after a look at what it has written. Guards the last line to it: many go at once, more
+   * sides than may linger, and one that was closed over unread bytes was reset.
+   */
+  private static void sendAway(ClientLink client, Consumer<ClientLink> away) {
+    client.link().readNow();
+    client.link().guarded(() -> away.accept(client));
+  }
 }
--- a/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
@@ -60,6 +60,30 @@
     return site.limits().drainMost() - site.limits().linger() + TICK;
   }
 
+  // ---- First lines ---------------------------------------------------------------------------
+
+  /** The process once ended over it, and the system reset the connection. */
+  @Test
+  void aLineThatLiesUnreadAtTheEndIsAnswered() throws Exception {
+    try (Site site = site(SHORT)) {
+      Peer resting = site.client().send("PING\r\n");
+      assertEquals("PONG", resting.line());
+      Peer silent = site.client().send("PING\r\n");
+      assertEquals("PONG", silent.line());
+      Thread stop = Orders.stop(site);
+      site.settle();
+      Held held = site.hold();
+      resting.send("OPEN 00000000000000aa k c=chat,d=2000\r\n").awaitUnread(30);
+      try (Held ended = Orders.jump(site, held, site.limits().drainMost() + TICK)) {
+        stop.join();
+        // From here on the process is gone.
+        assertEquals("BUSY 1000", resting.line());
+        assertNull(resting.line());
+        assertNull(silent.line());
+      }
+    }
+  }
+
   // ---- The queue -----------------------------------------------------------------------------
 
   /** Slots are taken, and many connections say nothing: still all are let in, within the descriptors, and answered. */
@@ -150,6 +174,41 @@
     }
   }
 
+  /** What a client writes in the instant of its MOVE is read: its connection ends, and is not reset. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void bytesThatCrossTheMoveDoNotResetIt(boolean inTheMiddleOfALine) throws Exception {
+    try (Site site = Site.of(ProxyTest::sendOnce, setup -> {
+      setup.sockets = 256;
+      setup.longestDeadline = SHORT;
+    })) {
+      List<Peer> clients = new ArrayList<>();
+      for (int i = 0; i < 4 * site.limits().lingering(); i++) {
+        clients.add(site.client("c=chat,d=2000"));
+        up(site, clients.get(i)).send(inTheMiddleOfALine ? "whole\r\nhal" : "whole\r\n");
+        assertEquals("whole", clients.get(i).line());
+      }
+      Thread stop = Orders.stop(site);
+      site.settle();
+      if (!inTheMiddleOfALine) {
+        site.jump(site.limits().drainAccept() + TICK);
+      }
+      Held held = site.hold();
+      for (Peer client : clients) {
+        client.send("my line\r\n").awaitUnread(9);
+      }
+      Orders.jump(site, held, toLastAnswers(site)).release();
+      site.settle();
+      for (Peer client : clients) {
+        assertEquals("MOVE", client.line());
+        assertNull(client.line());
+        assertDoesNotThrow(() -> client.send("more\r\n"), "a reset would have come");
+      }
+      site.jump(site.limits().drainMost());
+      stop.join();
+    }
+  }
+
   // ---- Attempts ------------------------------------------------------------------------------
 
   /** The module holds a request whose first attempt failed, and sends it again when it is woken. */
