Let a stop wait for first lines under way as long as it may

A client may take 2 s to write its first line. Without a request inside the stop skipped the time in which clients are served on, ran through its steps and ended half a second later, up to 1.05 s before its time was over, although such clients were still known to be writing: they were cut off with no answer.

The end that comes early because nobody is inside is left out while connections wait without their first line; the one at drainMost stands.

Test: ShutdownCrossingsTest.theEndWaitsForFirstLinesAsLongAsItMay, red without: the connection ended in place of BUSY.

--- a/proxy/src/main/java/lemondeal/proxy/Stop.java
+++ b/proxy/src/main/java/lemondeal/proxy/Stop.java
@@ -106,12 +106,22 @@
     boolean allSeen = movable.size() <= share && !awaited.getAsBoolean();
     if (steps == 0 || allSeen) {
       // Who comes up from now on is moved at once.
-      admission.close(() -> timers.after(limits.linger(), this::end));
+      admission.close(() -> timers.after(limits.linger(), this::endUnlessAwaited));
     } else {
       timers.after(limits.drainStep(), this::moveSome);
     }
   }
 
+  /**
+   * What was written last has arrived by now. Guards those whose first line is on its way when nobody else is left: they
+   * were cut off while there was time.
+   */
+  private void endUnlessAwaited() {
+    if (!awaited.getAsBoolean()) {
+      end();
+    }
+  }
+
   /**
    * Ends this client's connection after a look at what it has written. Guards the last line to it: many go at once, more
    * sides than may linger, and one that was closed over unread bytes was reset.
--- a/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
@@ -62,6 +62,26 @@
 
   // ---- First lines ---------------------------------------------------------------------------
 
+  /** With no request inside, the stop was once over before those had their time whose first line was on its way. */
+  @Test
+  void theEndWaitsForFirstLinesAsLongAsItMay() throws Exception {
+    try (Site site = site(3_000_000)) {
+      Thread stop = Orders.stop(site);
+      site.jump(site.limits().drainAccept() - 5 * TICK);
+      Peer slow = site.client().send("OPEN 00000000000000aa k c=ch");
+      site.settle();
+      site.jump(6 * TICK);
+      site.jump(TICK);
+      site.jump(site.limits().drainSpread() + TICK);
+      site.jump(site.limits().linger() + 5 * TICK);
+      slow.send("at,d=2000\r\n");
+      assertEquals("BUSY 1000", slow.line());
+      assertTrue(stop.isAlive(), "the process would be gone");
+      site.jump(site.limits().drainMost());
+      stop.join();
+    }
+  }
+
   /** The process once ended over it, and the system reset the connection. */
   @Test
   void aLineThatLiesUnreadAtTheEndIsAnswered() throws Exception {
