Let a second order to stop change nothing of the first one's times

Proxy.stop may be called again. It began all of the times anew beside those that ran: with THROTTLING a state of its own, that also took back CLOSING, so that the stop no longer ended when nobody was left.

Test: ShutdownCrossingsTest.aSecondOrderChangesNothing, red without the check in Stop.ordered.

--- a/proxy/src/main/java/lemondeal/proxy/Stop.java
+++ b/proxy/src/main/java/lemondeal/proxy/Stop.java
@@ -59,8 +59,11 @@
     }
   }
 
-  /** From here on its times run. */
+  /** Whether this is the first order; its times count, and another one changes nothing. */
   private boolean ordered(Listener clients) {
+    if (state != State.NOT_ORDERED) {
+      return false;
+    }
     state = State.SERVING;
     listener = clients;
     timers.after(limits.drainMost() - limits.linger(), this::endRequests);
--- a/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
@@ -286,4 +286,30 @@
       assertEquals(0, program.exitCode());
     }
   }
+
+  // ---- Other orders --------------------------------------------------------------------------
+
+  /** The stop ends when nobody is left, as if the second order had not come. */
+  @Test
+  void aSecondOrderChangesNothing() throws Exception {
+    try (Site site = site(3_000_000)) {
+      Peer client = site.client("c=chat,d=3000");
+      Peer server = site.atServer();
+      server.line();
+      Thread first = Orders.stop(site);
+      site.jump(site.limits().drainAccept() + TICK);
+      site.jump(site.limits().drainHold() + TICK);
+      Thread second = Orders.stop(site);
+      site.settle();
+      server.send("BUSY\r\n");
+      assertEquals("BUSY 250", client.line());
+      assertNull(client.line());
+      site.jump(site.limits().linger() + TICK);
+      try (Held held = site.hold()) {
+        first.join(PATIENCE_MS);
+        assertFalse(first.isAlive(), "it waits for the second one's times");
+      }
+      second.join();
+    }
+  }
 }
