--- a/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
@@ -62,6 +62,40 @@
 
   // ---- First lines ---------------------------------------------------------------------------
 
+  @Test
+  void aLineReadBeforeTheOrderIsServedAndOneReadAfterItIsThrottled() throws Exception {
+    try (Site site = site(2_000_000)) {
+      Peer before = site.client(OPEN);
+      site.await(Arrived.class);
+      Peer after = site.client();
+      site.settle();
+      Thread stop;
+      try (Held held = site.hold()) {
+        after.send("OPEN 00000000000000aa k c=chat,d=2000\r\n").awaitUnread(30);
+        stop = Orders.stop(site);
+      }
+      up(site, before);
+      assertEquals("BUSY 1000", after.line());
+      assertNull(after.line());
+      assertEquals("MOVE", before.line());
+      stop.join();
+    }
+  }
+
+  @Test
+  void aFirstLineWhoseRestComesDuringTheStopIsThrottled() throws Exception {
+    try (Site site = site(2_000_000)) {
+      Peer client = site.client().send("OPEN 00000000000000aa k c=ch");
+      site.settle();
+      Thread stop = Orders.stop(site);
+      site.settle();
+      client.send("at,d=2000\r\n");
+      assertEquals("BUSY 1000", client.line());
+      assertNull(client.line());
+      stop.join();
+    }
+  }
+
   /** With no request inside, the stop was once over before those had their time whose first line was on its way. */
   @Test
   void theEndWaitsForFirstLinesAsLongAsItMay() throws Exception {
@@ -229,6 +263,41 @@
     }
   }
 
+  /** A client that never reads and never closes, with all that the proxy holds for it full, keeps nobody. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aClientThatDoesNotReadDelaysNoEnd(boolean readsAtLast) throws Exception {
+    try (Site site = site(SHORT)) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      Thread flood = new Thread(() -> {
+        try {
+          while (true) {
+            server.send("0123456789abcdef\r\n".repeat(1000));
+          }
+        } catch (IOException e) {
+          // Its connection has ended.
+        }
+      });
+      flood.start();
+      server.awaitUnread(100_000);
+      Thread stop = Orders.stop(site);
+      site.settle();
+      site.jump(toLastAnswers(site));
+      if (readsAtLast) {
+        String last = "";
+        for (String line = client.line(); line != null; line = client.line()) {
+          assertTrue(line.equals("0123456789abcdef") || line.equals("MOVE"), line);
+          last = line;
+        }
+        assertEquals("MOVE", last);
+      }
+      site.jump(site.limits().linger() + TICK);
+      stop.join();
+      flood.join();
+    }
+  }
+
   // ---- Attempts ------------------------------------------------------------------------------
 
   /** The module holds a request whose first attempt failed, and sends it again when it is woken. */
@@ -246,6 +315,88 @@
     return List.of();
   }
 
+  @Test
+  void aRepeatThatIsDueDuringTheStopIsSent() throws Exception {
+    try (Site site = new Site(ShutdownCrossingsTest::repeatLater, 3_000_000)) {
+      Peer client = site.client("c=chat,d=3000");
+      site.atServer().send("BUSY\r\n");
+      site.await(Ended.class);
+      Thread stop = Orders.stop(site);
+      site.settle();
+      site.jump(300_000 + TICK);
+      up(site, client);
+      assertEquals("MOVE", client.line());
+      stop.join();
+    }
+  }
+
+  @Test
+  void aRepeatThatFailsDuringTheStopIsAnswered() throws Exception {
+    try (Site site = new Site(ShutdownCrossingsTest::repeatLater, 3_000_000)) {
+      Peer client = site.client("c=chat,d=3000");
+      site.atServer().send("BUSY\r\n");
+      site.await(Ended.class);
+      Thread stop = Orders.stop(site);
+      site.settle();
+      site.jump(300_000 + TICK);
+      site.atServer().send("BUSY\r\n");
+      assertEquals("BUSY 250", client.line());
+      assertNull(client.line());
+      stop.join();
+    }
+  }
+
+  /** The answer goes first, and the wake-up that comes then sends nothing: nobody would be here to pass its answer on. */
+  @Test
+  void aRepeatThatIsDueAfterTheLastAnswersIsNotSent() throws Exception {
+    try (Site site = new Site(ShutdownCrossingsTest::repeatLater, SHORT)) {
+      Peer client = site.client("c=chat,d=3000");
+      // Held so that the pause begins with the stop: it is longer than what is left before the last answers.
+      Peer server = site.atServer();
+      Thread stop = Orders.stop(site);
+      site.jump(toLastAnswers(site) - 2 * TICK - 100_000);
+      server.send("BUSY\r\n");
+      site.await(Ended.class);
+      site.jump(100_000 + 3 * TICK);
+      assertEquals("ERR", client.line());
+      assertNull(client.line());
+      site.await(ClientGone.class);
+      site.jump(300_000);
+      site.await(Wake.class);
+      site.settle();
+      assertEquals(1, site.figure("attempts"), "none but the first");
+      site.jump(site.limits().drainMost());
+      stop.join();
+    }
+  }
+
+  /** The connection is up, and the word of it comes after the request was answered: nothing is written to it. */
+  @Test
+  void aDialThatComesUpAfterTheLastAnswersCarriesNothing() throws Exception {
+    Site[] made = new Site[1];
+    try (Site site = new Site(event -> {
+      if (event instanceof Wake) {
+        // Queued before the dial's own word that it is up.
+        Orders.waiting(() -> made[0].jump(toLastAnswers(made[0])));
+      }
+      return repeatLater(event);
+    }, SHORT)) {
+      made[0] = site;
+      Peer client = site.client("c=chat,d=3000");
+      site.atServer().send("BUSY\r\n");
+      site.await(Ended.class);
+      Thread stop = Orders.stop(site);
+      site.jump(300_000 + TICK);
+      assertEquals("ERR", client.line());
+      assertNull(client.line());
+      assertNull(site.atServer().line());
+      assertEquals(Outcome.CANCELLED, site.await(Ended.class).outcome());
+      assertEquals(1, site.figure("attempts"), "none but the first");
+      site.jump(site.limits().drainMost());
+      stop.join();
+    }
+  }
+
   // ---- The program ---------------------------------------------------------------------------
 
   /**
@@ -312,4 +463,29 @@
       second.join();
     }
   }
+
+  /** A configuration that moves discovery is taken over beside the stop, whichever comes first. */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void aReloadBesideTheOrderKeepsNoAnswerBack(boolean reloadFirst) throws Exception {
+    try (Site other = site(SHORT); Site site = site(SHORT)) {
+      Peer standing = site.client(OPEN);
+      up(site, standing);
+      Peer waiting = site.client("c=chat,d=3000");
+      site.atServer().line();
+      Thread stop;
+      try (Held held = site.hold()) {
+        if (reloadFirst) {
+          site.moveDiscovery(other);
+        }
+        stop = Orders.stop(site);
+        if (!reloadFirst) {
+          site.moveDiscovery(other);
+        }
+      }
+      assertEquals("MOVE", standing.line());
+      assertEquals("ERR", waiting.line());
+      stop.join();
+    }
+  }
 }
