--- a/proxy/src/main/java/lemondeal/proxy/Stop.java
+++ b/proxy/src/main/java/lemondeal/proxy/Stop.java
@@ -116,8 +116,8 @@
   }
 
   /**
-   * What was written last has arrived by now. Guards those whose first line is on its way when nobody else is left: they
-   * were cut off while there was time.
+   * What was written last has arrived by now. Guards those whose first line is on its way when nobody else is left:
+   * they were cut off while there was time.
    */
   private void endUnlessAwaited() {
     if (!awaited.getAsBoolean()) {
@@ -126,8 +126,8 @@
   }
 
   /**
-   * Ends this client's connection after a look at what it has written. Guards the last line to it: many go at once, more
-   * sides than may linger, and one that was closed over unread bytes was reset.
+   * Ends this client's connection after a look at what it has written. Guards the last line to it: many go at once,
+   * more sides than may linger, and one that was closed over unread bytes was reset.
    */
   private static void sendAway(ClientLink client, Consumer<ClientLink> away) {
     client.link().readNow();
--- a/proxy/src/test/java/lemondeal/proxy/HandOverCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/HandOverCrossingsTest.java
@@ -59,6 +59,7 @@
         client = before.client(OPEN);
         before.awaitQueued(1);
         stop = Orders.stop(before);
+        held.release();
       }
       before.settle();
       before.awaitQueued(1);
@@ -79,6 +80,7 @@
       try (Held held = before.hold()) {
         client.send(LINE).awaitUnread(LINE.length());
         stop = Orders.stop(before);
+        held.release();
       }
       up(before, client);
       assertEquals("MOVE", client.line());
@@ -113,6 +115,8 @@
           clients.add(before.client("c=chat,d=9000"));
         }
         before.awaitQueued(clients.size());
+        one.release();
+        other.release();
       }
       while (before.figure("in_flight") + after.figure("in_flight") < clients.size()) {
         Thread.onSpinWait();
@@ -163,6 +167,7 @@
         before.awaitQueued(1);
         after.settle();
         before.awaitQueued(1);
+        held.release();
       }
       up(before, late);
     }
--- a/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ShutdownCrossingsTest.java
@@ -73,6 +73,7 @@
       try (Held held = site.hold()) {
         after.send("OPEN 00000000000000aa k c=chat,d=2000\r\n").awaitUnread(30);
         stop = Orders.stop(site);
+        held.release();
       }
       up(site, before);
       assertEquals("BUSY 1000", after.line());
@@ -134,6 +135,7 @@
         assertEquals("BUSY 1000", resting.line());
         assertNull(resting.line());
         assertNull(silent.line());
+        ended.release();
       }
     }
   }
@@ -357,7 +359,7 @@
     }
   }
 
-  /** The answer goes first, and the wake-up that comes then sends nothing: nobody would be here to pass its answer on. */
+  /** The answer goes first, and the wake-up that comes then sends nothing: nobody would pass its answer on. */
   @Test
   void aRepeatThatIsDueAfterTheLastAnswersIsNotSent() throws Exception {
     try (Site site = new Site(ShutdownCrossingsTest::repeatLater, SHORT)) {
@@ -411,8 +413,8 @@
   // ---- The program ---------------------------------------------------------------------------
 
   /**
-   * A client is inside and the program has not told where it listens, since its log can't be written: the order is heard
-   * all the same. It once ended the program on the spot, until all of the start was done.
+   * A client is inside and the program has not told where it listens, since its log can't be written: the order is
+   * heard all the same. It once ended the program on the spot, until all of the start was done.
    */
   @Test
   void theOrderIsHeardFromTheFirstClientOn() throws Exception {
@@ -470,6 +472,7 @@
       try (Held held = site.hold()) {
         first.join(PATIENCE_MS);
         assertFalse(first.isAlive(), "it waits for the second one's times");
+        held.release();
       }
       second.join();
     }
@@ -493,6 +496,7 @@
         if (!reloadFirst) {
           site.moveDiscovery(other);
         }
+        held.release();
       }
       assertEquals("MOVE", standing.line());
       assertEquals("ERR", waiting.line());
