--- a/proxy/src/main/java/lemondeal/net/Listener.java
+++ b/proxy/src/main/java/lemondeal/net/Listener.java
@@ -4,6 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.channels.Channel;
 import java.nio.channels.ServerSocketChannel;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -25,6 +28,7 @@
   private final int turn;
   private final Consumer<Link> accepted;
   private final AcceptingChannel<? extends StreamConnection> server;
+  private final Set<Link> open = new LinkedHashSet<>();
 
   Listener(Net net, XnioWorker worker, ServerSocketChannel channel, int most, Consumer<Link> accepted)
       throws IOException {
@@ -77,15 +81,28 @@
 
   /**
    * Closes the socket, once all who wait in the system's queue are let in. Guards those who came while this process
-   * was busy: the system resets whoever waits there, though their lines have been taken.
+   * was busy: the system resets whoever waits there, though their lines have been taken. No more are let in than that
+   * queue holds: clients that come again as soon as they are turned away would keep it open without end.
    */
   public void acceptRestAndClose() {
-    while (acceptOne()) {
+    for (int i = 0; i <= BACKLOG && acceptOne(); i++) {
       continue;
     }
     IoUtils.safeClose(server);
   }
 
+  /**
+   * Ends all that was accepted here and is still open, after a last look at what has come. Guards the answers sent
+   * last: the system resets a connection that its process leaves with unread bytes, and one whose line lay there
+   * would get no answer at all.
+   */
+  public void endAll() {
+    for (Link link : List.copyOf(open)) {
+      link.readNow();
+      link.close();
+    }
+  }
+
   /**
    * Lets connections in for one turn, and the others when all that is open has had its own. Guards against clients
    * that come again as soon as they are turned away: there was always one more, and nothing was read meanwhile.
@@ -104,6 +121,8 @@
         return false;
       }
       Link link = new Link(net, next);
+      open.add(link);
+      next.setCloseListener(closed -> open.remove(link));
       link.guarded(() -> accepted.accept(link));
       return true;
     } catch (IOException e) {
