Give the request, the attempt and the tunnel behind UP one owner each, with named states

Need: ClientLink (438 lines) kept a request's life, its final answer and what passes between two sides in one class, with six flags whose combinations had no name; Execution had three more. ClientLink is the request (WAITING, UP, OVER), Execution the attempt (DIALLING, SENDING, SENT, UP, OVER: SENT says what Link.isFlushed was asked for at several places), and Tunnel what passes from UP on and how both sides end (OPEN, MOVING, ENDING, OVER). Each link has one owner at a time.

--- a/proxy/src/main/java/lemondeal/net/Link.java
+++ b/proxy/src/main/java/lemondeal/net/Link.java
@@ -176,16 +176,19 @@
    * keep all others from the one I/O thread. What is left over is told again in the next turn.
    */
   private void readable() {
+    read(net.scratch(Integer.MAX_VALUE));
+  }
+
+  private void read(ByteBuffer bytes) {
     try {
       int left = net.limits().turnBytes();
-      while (!closed && left > 0) {
+      while (!closed && !otherEnded && left > 0) {
         int room = Math.min(left, owner.room());
         if (room <= 0) {
           source.suspendReads();
           return;
         }
-        ByteBuffer bytes = net.scratch(room);
-        int count = source.read(bytes);
+        int count = source.read(bytes.clear().limit(Math.min(room, bytes.capacity())));
         if (count == 0) {
           return;
         }
--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -9,17 +9,14 @@
 import lemondeal.Balancer.Outcome;
 import lemondeal.Balancer.Request;
 import java.nio.ByteBuffer;
-import lemondeal.codec.LineParser;
 import lemondeal.codec.OpenLine;
-import lemondeal.codec.ProtocolException;
-import lemondeal.codec.ServerLine;
 import lemondeal.net.Link;
 import lemondeal.net.Timers;
 import lemondeal.resume.Continuity;
 
 /**
- * A client's side of a connection behind its first line: its one final answer and, once its server says UP, what
- * passes between the two. Owns the executions of its request, one at a time.
+ * A request, from its client's first line to its one final answer, and its end. Owns the executions of the request, one
+ * at a time, and hears the client's side until its server says UP; a {@link Tunnel} does from then on.
  */
 final class ClientLink implements Link.Owner, Continuity.Side {
   private static final long MILLI = 1000;
@@ -29,7 +26,6 @@
   private final Context context;
   private final AdmissionControl admission;
   private final Link link;
-  private final LineParser lines;
   private final OpenLine open;
   private final Continuity continuity;
   private final int requestClass;
@@ -40,14 +36,11 @@
   private int attempts;
   private Execution execution;
   /** From UP on. */
-  private PassiveHealthCheck health;
+  private Tunnel tunnel;
   private Timers.Timer timer;
   /** Whether the module knows of it. */
   private boolean admitted;
-  private boolean moving;
   private boolean told;
-  private boolean clientEnded;
-  private boolean serverEnded;
 
   ClientLink(Context context, AdmissionControl admission, Link link, OpenLine open, int requestClass) {
     this.context = context;
@@ -56,7 +49,6 @@
     this.open = open;
     this.requestClass = requestClass;
     continuity = context.continuity(open);
-    lines = new LineParser(context.limits().lineBytes());
   }
 
   /** The admission must have room. */
@@ -94,30 +86,21 @@
 
   /** Whether it is up and has not been sent away yet. */
   boolean isMovable() {
-    return state == State.UP && !moving;
+    return state == State.UP && tunnel.isMovable();
   }
 
   @Override
   public int room() {
-    return switch (state) {
-      case WAITING -> context.limits().lineBytes();
-      default -> execution == null || execution.link() == null ? 0 : execution.link().free();
-    };
+    return context.limits().lineBytes();
   }
 
+  /**
+   * A client waits for its answer. What it sends all the same would be kept for a server that may never be found, and a
+   * reading that had to be suspended for it would not see the client leave.
+   */
   @Override
   public void received(ByteBuffer bytes) {
-    try {
-      if (state == State.UP) {
-        toServer(bytes);
-      } else if (state == State.WAITING) {
-        // A client waits for its answer. What it sends all the same would be kept for a server that may never
-        // be found, and a reading that had to be suspended for it would not see the client leave.
-        refuse();
-      }
-    } catch (ProtocolException e) {
-      breakOff(Outcome.CANCELLED);
-    }
+    refuse();
     bytes.position(bytes.limit());
   }
 
@@ -168,7 +151,7 @@
   void executionEnded(Execution ended, Outcome outcome, LoadReport report) {
     execution = null;
     overForContinuity();
-    if (isAdoption() && !ended.isUp()) {
+    if (isAdoption() && !ended.cameUp()) {
       if (state == State.WAITING) {
         timer = link.after(context.limits().adoptPause(), this::adopt);
       }
@@ -178,11 +161,18 @@
         state != State.WAITING, report));
   }
 
-  void up(Execution from, String line) {
+  /** What passes between client and server from now on, behind the server's answer. */
+  Tunnel open(Execution from) {
     state = State.UP;
     Timers.cancel(timer);
-    health = new PassiveHealthCheck(context, link, request, from, () -> moveNow(Outcome.RESET));
+    tunnel = new Tunnel(context, link, continuity, request, from, this::leave);
+    return tunnel;
+  }
+
+  /** Passes the server's answer on. */
+  void up(Execution from, String line) {
     link.send(line + "\r\n" + continuity.up(from.number(), from.server(), line));
+    link.start(tunnel);
     context.figures().served(requestClass);
     if (isAdoption()) {
       context.decisions().tell(new Adopted(request, from.server()));
@@ -190,7 +180,7 @@
       context.decisions().tell(new Established(id, from.number(), from.server(), from.elapsed()));
     }
     if (admission.isClosing()) {
-      move();
+      tunnel.move();
     }
   }
 
@@ -258,9 +248,6 @@
   private void leave() {
     state = State.OVER;
     Timers.cancel(timer);
-    if (health != null) {
-      health.stop();
-    }
     admission.leave(id);
     overForContinuity();
   }
@@ -273,50 +260,11 @@
     }
   }
 
-  // ---- Passing on ----------------------------------------------------------------------------
-
-  private void toServer(ByteBuffer bytes) throws ProtocolException {
-    ByteBuffer looked = bytes.duplicate();
-    while (looked.hasRemaining()) {
-      if (lines.next(looked) != null) {
-        health.clientLine();
-        continuity.fromClient();
-      }
-    }
-    execution.link().send(bytes);
-  }
-
-  void lineFromServer(ServerLine line) {
-    if (continuity.answers(line)) {
-      health.serverLine(line);
-    }
-    if (moving) {
-      moveNow(Outcome.CANCELLED);
-    }
-  }
-
-  /**
-   * Bytes that {@link #passLine} takes now, with room for a MOVE kept back. Guards against a client that reads
-   * slowly: what the server's side has room for says nothing of the client's.
-   */
-  int roomTowardsClient() {
-    return Math.max(0, link.free() - continuity.moveBytes());
-  }
-
-  /** Passes a whole line of the server on, for which there was room. */
-  void passLine(String line) {
-    link.send(continuity.fromServer(line));
-  }
+  // ---- Continuity ----------------------------------------------------------------------------
 
-  /** A line of the proxy's own between two others. */
   @Override
   public boolean say(String line) {
-    int bytes = line.length() + 2;
-    if (state != State.UP || link.free() < bytes + continuity.moveBytes()) {
-      return false;
-    }
-    link.send(line + "\r\n");
-    return true;
+    return state == State.UP && tunnel.say(line);
   }
 
   @Override
@@ -329,17 +277,6 @@
     context.net().later(() -> link.guarded(task));
   }
 
-  void resume() {
-    link.resume();
-  }
-
-  @Override
-  public void flushed() {
-    if (execution != null && execution.link() != null) {
-      execution.link().resume();
-    }
-  }
-
   // ---- Ends ----------------------------------------------------------------------------------
 
   /**
@@ -348,91 +285,33 @@
    */
   void endNow() {
     if (state == State.UP) {
-      moveNow(Outcome.CANCELLED);
+      tunnel.moveNow(Outcome.CANCELLED);
     } else if (state == State.WAITING) {
       refuse();
     }
   }
 
-  /** Sends the client away between two lines, or after a while without the end of one. */
   void move() {
-    if (state != State.UP || moving) {
-      return;
-    }
-    moving = true;
-    if (execution.betweenLines()) {
-      moveNow(Outcome.CANCELLED);
-    } else {
-      Timers.cancel(timer);
-      timer = link.after(context.limits().moveWithin(), () -> moveNow(Outcome.CANCELLED));
-    }
-  }
-
-  /** A line of which only a part has come is left out: all that was passed on are whole ones. */
-  private void moveNow(Outcome outcome) {
-    if (state != State.UP) {
-      return;
-    }
-    leave();
-    if (link.free() >= continuity.moveBytes()) {
-      link.send(continuity.move());
-    }
-    link.finish();
-    execution.end(outcome, null);
-  }
-
-  /** The server has ended its sending, and so does this side: the other direction has a moment more. */
-  void serverEnded() {
-    serverEnded = true;
-    link.endSending();
-    oneEnded(!clientEnded);
-  }
-
-  private void oneEnded(boolean serverFirst) {
-    if (clientEnded && serverEnded) {
-      finishBoth(serverFirst);
-    } else {
-      Timers.cancel(timer);
-      timer = link.after(context.limits().linger(), () -> finishBoth(serverFirst));
-    }
-  }
-
-  private void finishBoth(boolean serverFirst) {
     if (state == State.UP) {
-      leave();
-      link.finish();
-      execution.finish(serverFirst);
+      tunnel.move();
     }
   }
 
-  /** Ends both sides at once: the server's connection broke, or one side does not keep to the protocol. */
-  void breakOff(Outcome outcome) {
-    leave();
-    link.reset();
-    execution.end(outcome, null);
-  }
-
+  /** Most have left altogether; one that has only ended its sending still reads what it is owed. */
   @Override
   public void ended() {
-    if (state == State.UP) {
-      clientEnded = true;
-      execution.link().endSending();
-      oneEnded(serverEnded);
-    } else if (state == State.WAITING) {
-      // Most have left altogether; one that has only ended its sending still reads what it is owed.
-      refuse();
-    }
+    refuse();
   }
 
   @Override
   public void broken() {
-    switch (state) {
-      case UP -> {
-        leave();
-        execution.reset();
-      }
-      case WAITING -> clientGone();
-      default -> { }
+    if (state == State.WAITING) {
+      clientGone();
     }
   }
+
+  @Override
+  public void flushed() {
+    // Nothing is sent before the answer.
+  }
 }
--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -13,19 +13,22 @@
 
 /** One attempt of a request at one server, with its server link. Ends once and tells its client link. */
 final class Execution implements Link.Owner {
+  /** Until its first line's last byte is written, in SENT, a server can't have acted on it. */
+  private enum State { DIALLING, SENDING, SENT, UP, OVER }
+
   private final Context context;
   private final ClientLink client;
   private final String server;
   private final int number;
   private final long begun;
   private final LineParser lines;
+  private State state = State.DIALLING;
   private long deadline;
   private Dial dial;
   private Link link;
   private Timers.Timer timeout;
-  private boolean written;
-  private boolean up;
-  private boolean over;
+  /** From UP on. */
+  private Tunnel tunnel;
   private ServerLine last = ServerLine.parse("");
 
   Execution(Context context, ClientLink client, String server, int number) {
@@ -54,6 +57,17 @@
     return !lines.midLine();
   }
 
+  /** Whether it came up, also after its end. */
+  boolean cameUp() {
+    return tunnel != null;
+  }
+
+  Link link() {
+    return link;
+  }
+
+  // ---- Until UP ------------------------------------------------------------------------------
+
   /** Dials, and waits for {@code UP} until the time is up. */
   void start(long patience) {
     deadline = begun + patience;
@@ -63,85 +77,34 @@
       context.net().later(() -> client.link().guarded(() -> end(outcome, null)));
       return;
     }
-    timeout = client.link().after(patience, () -> end(Outcome.TIMED_OUT, null));
+    timeout = client.link().after(patience, this::timedOut);
     dial = context.net().dial(address, context.limits().dial(), this::connected,
         () -> end(Outcome.NO_CONNECTION, null));
   }
 
   private void connected(Link opened) {
     link = opened;
+    state = State.SENDING;
     link.start(this);
-    long left = Math.max(0, deadline - context.now());
-    link.send(client.firstLine(left, number));
-    attempted();
+    link.send(client.firstLine(Math.max(0, deadline - context.now()), number));
+    sent();
   }
 
   /** Counts the attempt once its line's last byte is written, which may be at once or later. */
-  private void attempted() {
-    if (!written && link.isFlushed()) {
-      written = true;
+  private void sent() {
+    if (state == State.SENDING && link.isFlushed()) {
+      state = State.SENT;
       context.figures().attempted();
     }
   }
 
-  boolean isUp() {
-    return up;
+  private void timedOut() {
+    end(Outcome.TIMED_OUT, null);
   }
 
-  Link link() {
-    return link;
-  }
-
-  /** Ends the attempt from this side. */
-  void cancel() {
-    end(Outcome.CANCELLED, null);
-  }
-
-  /** Both sides have ended, or one has and the other had its time: what was sent still goes out. */
-  void finish(boolean serverFirst) {
-    link.finish();
-    end(serverFirst ? endOutcome() : Outcome.CANCELLED, null);
-  }
-
-  /** The client was reset, and so is the server. */
-  void reset() {
-    link.reset();
-    cancel();
-  }
-
-  void end(Outcome outcome, LoadReport report) {
-    if (over) {
-      return;
-    }
-    over = true;
-    Timers.cancel(timeout);
-    if (dial != null) {
-      dial.cancel();
-    }
-    if (link != null && !link.isFinishing()) {
-      link.close();
-    }
-    client.executionEnded(this, outcome, report);
-  }
-
-  @Override
-  public int room() {
-    return up ? Math.max(0, client.roomTowardsClient() - lines.pending()) : context.limits().lineBytes();
-  }
-
-  @Override
-  public void received(ByteBuffer bytes) {
-    try {
-      if (!up) {
-        awaitUp(bytes);
-      }
-      if (up && !over && bytes.hasRemaining()) {
-        context.delays().heard(context.now(), server);
-        pass(bytes);
-      }
-    } catch (ProtocolException e) {
-      failed(Outcome.ERROR);
-    }
+  /** PROTOCOL: what ends before the line's last byte was written has never run. */
+  private Outcome unlessUnsent(Outcome outcome) {
+    return state == State.SENT ? outcome : Outcome.NO_CONNECTION;
   }
 
   private void awaitUp(ByteBuffer bytes) throws ProtocolException {
@@ -164,53 +127,110 @@
       end(Outcome.ERROR, null);
       return;
     }
-    up = true;
+    state = State.UP;
     Timers.cancel(timeout);
+    tunnel = client.open(this);
     client.up(this, line);
   }
 
+  // ---- From UP on ----------------------------------------------------------------------------
+
+  @Override
+  public int room() {
+    return state == State.UP ? Math.max(0, tunnel.roomTowardsClient() - lines.pending()) : context.limits().lineBytes();
+  }
+
+  @Override
+  public void received(ByteBuffer bytes) {
+    try {
+      if (state != State.UP) {
+        awaitUp(bytes);
+      }
+      if (state == State.UP && bytes.hasRemaining()) {
+        context.delays().heard(context.now(), server);
+        pass(bytes);
+      }
+    } catch (ProtocolException e) {
+      unreadable();
+    }
+  }
+
   /**
    * Passes lines on as soon as they are whole, and tells of them. Guards the client of a server that hangs in the
    * middle of a line: with half of it passed on there was no place left for a MOVE. A line goes out before it is told:
    * what the module decides on it may be a move, which must not overtake or swallow the line.
    */
   private void pass(ByteBuffer bytes) throws ProtocolException {
-    while (bytes.hasRemaining() && !over) {
+    while (bytes.hasRemaining() && state != State.OVER) {
       String line = lines.next(bytes);
       if (line != null) {
-        client.passLine(line);
-        last = ServerLine.parse(line);
-        client.lineFromServer(last);
+        tunnel.passLine(line);
+        ServerLine read = ServerLine.parse(line);
+        last = read;
+        tunnel.lineFromServer(read);
       }
     }
     bytes.position(bytes.limit());
   }
 
-  @Override
-  public void ended() {
-    if (!up) {
-      failed(brokenOutcome());
+  private void unreadable() {
+    if (state == State.UP) {
+      tunnel.breakOff(Outcome.ERROR);
     } else {
-      client.serverEnded();
+      end(Outcome.ERROR, null);
     }
   }
 
-  @Override
-  public void broken() {
-    failed(up ? endOutcome() : brokenOutcome());
+  // ---- Ends ----------------------------------------------------------------------------------
+
+  /** Ends the attempt from this side. */
+  void cancel() {
+    end(Outcome.CANCELLED, null);
+  }
+
+  /** Both sides have ended, or one has and the other had its time: what was sent still goes out. */
+  void finish(boolean serverFirst) {
+    link.finish();
+    end(serverFirst ? endOutcome() : Outcome.CANCELLED, null);
+  }
+
+  /** The client was reset, and so is the server. */
+  void reset() {
+    link.reset();
+    cancel();
+  }
+
+  void end(Outcome outcome, LoadReport report) {
+    if (state == State.OVER) {
+      return;
+    }
+    state = State.OVER;
+    Timers.cancel(timeout);
+    if (dial != null) {
+      dial.cancel();
+    }
+    if (link != null && !link.isFinishing()) {
+      link.close();
+    }
+    client.executionEnded(this, outcome, report);
   }
 
-  private void failed(Outcome outcome) {
-    if (up) {
-      client.breakOff(outcome);
+  @Override
+  public void ended() {
+    if (state == State.UP) {
+      tunnel.serverEnded();
     } else {
-      end(outcome, null);
+      end(unlessUnsent(Outcome.RESET), null);
     }
   }
 
-  /** Before the line's last byte was written the server can't have acted on it. */
-  private Outcome brokenOutcome() {
-    return link.isFlushed() ? Outcome.RESET : Outcome.NO_CONNECTION;
+  @Override
+  public void broken() {
+    if (state != State.UP) {
+      end(unlessUnsent(Outcome.RESET), null);
+    } else {
+      tunnel.breakOff(endOutcome());
+    }
   }
 
   private Outcome endOutcome() {
@@ -223,7 +243,7 @@
 
   @Override
   public void flushed() {
-    attempted();
-    client.resume();
+    sent();
+    client.link().resume();
   }
 }
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/proxy/Tunnel.java
@@ -0,0 +1,196 @@
+package lemondeal.proxy;
+
+import java.nio.ByteBuffer;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.Request;
+import lemondeal.codec.LineParser;
+import lemondeal.codec.ProtocolException;
+import lemondeal.codec.ServerLine;
+import lemondeal.net.Link;
+import lemondeal.net.Timers;
+import lemondeal.resume.Continuity;
+
+/** What passes between a client link and its server link from UP on, and how the two of them end. */
+final class Tunnel implements Link.Owner {
+  /** MOVING waits for the end of a server's line; ENDING grants the other side a moment after one has ended. */
+  private enum State { OPEN, MOVING, ENDING, OVER }
+
+  private final Context context;
+  private final Link client;
+  private final Continuity continuity;
+  private final Execution execution;
+  private final PassiveHealthCheck health;
+  private final Runnable left;
+  private final LineParser lines;
+  private State state = State.OPEN;
+  private Timers.Timer timer;
+  private boolean clientEnded;
+  private boolean serverEnded;
+
+  /** {@code left} is run as soon as it is over, before the module hears of the execution's end. */
+  Tunnel(Context context, Link client, Continuity continuity, Request request, Execution execution, Runnable left) {
+    this.context = context;
+    this.client = client;
+    this.continuity = continuity;
+    this.execution = execution;
+    this.left = left;
+    health = new PassiveHealthCheck(context, client, request, execution, () -> moveNow(Outcome.RESET));
+    lines = new LineParser(context.limits().lineBytes());
+  }
+
+  /** Whether its client has not been sent away and does not go by itself. */
+  boolean isMovable() {
+    return state == State.OPEN || state == State.ENDING;
+  }
+
+  // ---- Passing on ----------------------------------------------------------------------------
+
+  @Override
+  public int room() {
+    return execution.link().free();
+  }
+
+  @Override
+  public void received(ByteBuffer bytes) {
+    try {
+      toServer(bytes);
+    } catch (ProtocolException e) {
+      breakOff(Outcome.CANCELLED);
+    }
+    bytes.position(bytes.limit());
+  }
+
+  private void toServer(ByteBuffer bytes) throws ProtocolException {
+    ByteBuffer looked = bytes.duplicate();
+    while (looked.hasRemaining()) {
+      if (lines.next(looked) != null) {
+        health.clientLine();
+        continuity.fromClient();
+      }
+    }
+    execution.link().send(bytes);
+  }
+
+  /**
+   * Bytes that {@link #passLine} takes now, with room for a MOVE kept back. Guards against a client that reads
+   * slowly: what the server's side has room for says nothing of the client's.
+   */
+  int roomTowardsClient() {
+    return Math.max(0, client.free() - continuity.moveBytes());
+  }
+
+  /** Passes a whole line of the server on, for which there was room. */
+  void passLine(String line) {
+    client.send(continuity.fromServer(line));
+  }
+
+  /** Hears of a line that was passed on. */
+  void lineFromServer(ServerLine line) {
+    if (continuity.answers(line)) {
+      health.serverLine(line);
+    }
+    if (state == State.MOVING) {
+      moveNow(Outcome.CANCELLED);
+    }
+  }
+
+  /** Passes a line of the proxy's own between two others, if there is room. */
+  boolean say(String line) {
+    int bytes = line.length() + 2;
+    if (state == State.OVER || client.free() < bytes + continuity.moveBytes()) {
+      return false;
+    }
+    client.send(line + "\r\n");
+    return true;
+  }
+
+  @Override
+  public void flushed() {
+    execution.link().resume();
+  }
+
+  // ---- Ends ----------------------------------------------------------------------------------
+
+  /** Sends the client away between two lines, or after a while without the end of one. */
+  void move() {
+    if (state != State.OPEN && state != State.ENDING) {
+      return;
+    }
+    if (execution.betweenLines()) {
+      moveNow(Outcome.CANCELLED);
+    } else {
+      state = State.MOVING;
+      Timers.cancel(timer);
+      timer = client.after(context.limits().moveWithin(), () -> moveNow(Outcome.CANCELLED));
+    }
+  }
+
+  /** A line of which only a part has come is left out: all that was passed on are whole ones. */
+  void moveNow(Outcome outcome) {
+    if (state == State.OVER) {
+      return;
+    }
+    leave();
+    if (client.free() >= continuity.moveBytes()) {
+      client.send(continuity.move());
+    }
+    client.finish();
+    execution.end(outcome, null);
+  }
+
+  /** The server has ended its sending, and so does this side: the other direction has a moment more. */
+  void serverEnded() {
+    serverEnded = true;
+    client.endSending();
+    oneEnded(!clientEnded);
+  }
+
+  @Override
+  public void ended() {
+    clientEnded = true;
+    execution.link().endSending();
+    oneEnded(serverEnded);
+  }
+
+  private void oneEnded(boolean serverFirst) {
+    if (clientEnded && serverEnded) {
+      finish(serverFirst);
+    } else {
+      state = State.ENDING;
+      Timers.cancel(timer);
+      timer = client.after(context.limits().linger(), () -> finish(serverFirst));
+    }
+  }
+
+  /** Ends both sides in good order: what was sent to them still arrives. */
+  void finish(boolean serverFirst) {
+    if (state != State.OVER) {
+      leave();
+      client.finish();
+      execution.finish(serverFirst);
+    }
+  }
+
+  /** Ends both sides at once: the server's connection broke, or the client does not keep to the protocol. */
+  void breakOff(Outcome outcome) {
+    leave();
+    client.reset();
+    execution.end(outcome, null);
+  }
+
+  /** The client was reset. */
+  @Override
+  public void broken() {
+    if (state != State.OVER) {
+      leave();
+      execution.reset();
+    }
+  }
+
+  private void leave() {
+    state = State.OVER;
+    Timers.cancel(timer);
+    health.stop();
+    left.run();
+  }
+}
