--- a/proxy/src/test/java/lemondeal/net/LinkTest.java
+++ b/proxy/src/test/java/lemondeal/net/LinkTest.java
@@ -2,15 +2,21 @@
 
 import static org.junit.jupiter.api.Assertions.assertDoesNotThrow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.lang.management.BufferPoolMXBean;
 import java.lang.management.ManagementFactory;
+import java.lang.reflect.Field;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -23,6 +29,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.xnio.Options;
+import org.xnio.StreamConnection;
 
 /** Links on loopback, with peers that send more than is good. */
 @Timeout(30)
@@ -159,4 +167,107 @@
       }
     }
   }
+
+  /** Notes what it hears, in order. */
+  private class Noting implements Link.Owner {
+    final BlockingQueue<String> heard = new LinkedBlockingQueue<>();
+
+    @Override
+    public int room() {
+      return 64;
+    }
+
+    @Override
+    public void received(ByteBuffer bytes) {
+      heard.add(StandardCharsets.ISO_8859_1.decode(bytes).toString());
+    }
+
+    @Override
+    public void ended() {
+      heard.add("ended");
+    }
+
+    @Override
+    public void broken() {
+      heard.add("broken");
+    }
+
+    @Override
+    public void flushed() {
+      heard.add("flushed");
+    }
+
+    String next() throws InterruptedException {
+      return heard.poll(10, TimeUnit.SECONDS);
+    }
+  }
+
+  /** Returns when the link is read for this owner, and was looked at once. */
+  private void started(Link link, Link.Owner owner) throws IOException {
+    net.run(() -> {
+      link.start(owner);
+      return null;
+    });
+    for (int i = 0; i < 2; i++) {
+      net.run(() -> null);
+    }
+  }
+
+  private static void reset(SocketChannel peer) throws IOException {
+    peer.setOption(StandardSocketOptions.SO_LINGER, 0);
+    peer.close();
+  }
+
+  /** What was left unwritten is known when the connection breaks, though the link is closed by then. */
+  @Test
+  void aBrokenLinkTellsWhetherAllWasWritten() throws Exception {
+    Noting owner = new Noting();
+    try (SocketChannel peer = SocketChannel.open(listener.address())) {
+      Link link = next();
+      started(link, owner);
+      net.run(() -> {
+        ByteBuffer bytes = ByteBuffer.allocate(1024);
+        while (link.isFlushed()) {
+          link.send(bytes.clear());
+        }
+        return null;
+      });
+      reset(peer);
+      assertEquals("broken", owner.next());
+      net.run(() -> {
+        assertFalse(link.isFlushed(), "a part was never written");
+        return null;
+      });
+    }
+  }
+
+  /** Time stands still: no deadline comes. */
+  private static final class Still implements Timers {
+    @Override
+    public long now() {
+      return 0;
+    }
+
+    @Override
+    public Timer after(long micros, Runnable task) {
+      return () -> { };
+    }
+  }
+
+  /** Small writes that the system held back went down with a reset. */
+  @Test
+  void everySocketSendsAtOnce() throws Exception {
+    try (ServerSocketChannel server = Listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+        SocketChannel peer = SocketChannel.open(listener.address())) {
+      BlockingQueue<Link> dialled = new LinkedBlockingQueue<>();
+      net.use(new Still());
+      net.later(() -> net.dial((InetSocketAddress) assertDoesNotThrow(server::getLocalAddress), 5_000_000,
+          dialled::add, () -> { }));
+      for (Link link : List.of(next(), dialled.poll(10, TimeUnit.SECONDS))) {
+        Field connection = Link.class.getDeclaredField("connection");
+        connection.setAccessible(true);
+        assertEquals(true, ((StreamConnection) connection.get(link)).getOption(Options.TCP_NODELAY));
+      }
+    }
+  }
 }
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
@@ -0,0 +1,146 @@
+package lemondeal.proxy;
+
+import static lemondeal.proxy.Crossing.atDeadline;
+import static lemondeal.proxy.Crossing.atDoor;
+import static lemondeal.proxy.ProxyTest.OPEN;
+import static lemondeal.proxy.ProxyTest.up;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Function;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.Established;
+import lemondeal.Balancer.Event;
+import lemondeal.Balancer.LoadChanged;
+import lemondeal.Balancer.Move;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.Refuse;
+import lemondeal.Balancer.Send;
+import lemondeal.Balancer.Wake;
+import lemondeal.Balancer.WakeAfter;
+import lemondeal.proxy.Site.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Bytes and ends that meet a connection in the moment in which the proxy ends it. */
+@Timeout(30)
+class ClosingCrossingsTest {
+  private static final long MORE = 50_000;
+
+  private static boolean hasEnded(Site site) {
+    return site.events.stream().anyMatch(Ended.class::isInstance);
+  }
+
+  private static void assertEndedInOrder(Peer peer) throws Exception {
+    assertNull(peer.line(), "an end and no reset");
+    assertFalse(Crossing.isReset(peer), "a reset behind the end");
+  }
+
+  // ---- Connections without a request ----------------------------------------------------------
+
+  // ---- Sides that linger behind their last answer ----------------------------------------------
+
+  // ---- Moves ----------------------------------------------------------------------------------
+
+  /** Moves the first client at the word of another connection. */
+  private static Function<Event, List<Action>> movingTheFirst(List<String> ids) {
+    return event -> {
+      if (event instanceof Established e) {
+        ids.add(e.id());
+      }
+      return event instanceof LoadChanged ? List.of(new Move(ids.get(0))) : ProxyTest.sendOnce(event);
+    };
+  }
+
+  private static void move(Site site, Peer other) throws Exception {
+    other.send("LOAD 1\r\n");
+    site.await(LoadChanged.class);
+    site.settle();
+  }
+
+  /** The client rests; it writes in the instant of its MOVE, and its server in that of the end. */
+  @Test
+  void bytesThatCrossAMoveDoNotTakeItAlong() throws Exception {
+    try (Site site = new Site(event -> {
+      if (event instanceof Established e) {
+        return List.of(new WakeAfter(100_000, Long.parseLong(e.id(), 16)));
+      }
+      return event instanceof Wake e ? List.of(new Move(Long.toHexString(e.token()))) : ProxyTest.sendOnce(event);
+    })) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      site.settle();
+      atDeadline(site, 100_000 + MORE, () -> {
+        client.send("hello\r\n").awaitUnread(7);
+        server.send("half a").awaitUnread(6);
+      });
+      assertEquals("MOVE", client.line());
+      assertEndedInOrder(client);
+      server.awaitEnd();
+      assertEquals(Outcome.CANCELLED, site.await(Ended.class).outcome());
+    }
+  }
+
+  // ---- Servers' last words ---------------------------------------------------------------------
+
+  /** Its first link's late second answer belongs to nobody: the repeat is answered on its own. */
+  @Test
+  void aSecondAnswerBehindARefusalDoesNotReachTheRepeat() throws Exception {
+    try (Site site = new Site(event -> event instanceof Ended e && !e.over()
+        ? List.of(new Send(e.id(), Site.SERVER, 0)) : ProxyTest.sendOnce(event))) {
+      Peer client = site.client(OPEN);
+      Peer first = site.atServer();
+      first.line();
+      first.send("BUSY\r\nUP r0\r\n");
+      Peer second = site.atServer();
+      second.line();
+      first.send("UP r0\r\n");
+      site.settle();
+      second.send("UP r1\r\n");
+      assertEquals("UP r1", client.line());
+      assertEquals(1, site.await(Established.class).attempt());
+    }
+  }
+
+  /** A second UP is a line like any other: the client's one answer is the first. */
+  @Test
+  void aSecondUpChangesNothing() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = site.atServer();
+      server.line();
+      server.send("UP r1\r\nUP r2\r\nhel");
+      assertEquals("UP r1", client.line());
+      assertEquals("UP r2", client.line());
+      server.send("lo\r\n");
+      assertEquals("hello", client.line());
+      site.await(Established.class);
+      assertFalse(site.events.stream().anyMatch(Established.class::isInstance), "established once");
+    }
+  }
+
+  /** PROTOCOL: if one side ends the connection, the proxy ends the other in the same way. */
+  @Test
+  void aHalfCloseBehindUpPassesAsOne() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      client.send("last\r\n").endSending();
+      assertEquals("last", server.line());
+      assertNull(server.line());
+      server.send("answer\r\nBYE\r\n").endSending();
+      assertEquals("answer", client.line());
+      assertEquals("BYE", client.line());
+      assertNull(client.line());
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/proxy/Crossing.java
@@ -0,0 +1,142 @@
+package lemondeal.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import lemondeal.proxy.Site.Held;
+import lemondeal.proxy.Site.Peer;
+
+/** Moves by which two events meet at a site in a given order. */
+final class Crossing {
+  /** As the system's table of sockets has it. */
+  private static final String SYN_SENT = "02";
+
+  /** How a side leaves. */
+  enum Leaving {
+    FIN {
+      @Override
+      void leave(Peer peer) throws IOException {
+        peer.endSending();
+      }
+    },
+    RST {
+      @Override
+      void leave(Peer peer) throws IOException {
+        peer.reset();
+      }
+    };
+
+    abstract void leave(Peer peer) throws IOException;
+
+    /** Returns when the end has reached the proxy's socket. */
+    void leaveNow(Peer peer) throws IOException {
+      leave(peer);
+      peer.awaitEndQueued();
+    }
+  }
+
+  /** A place in a module's script at which the I/O thread stands still until the test lets it go. */
+  static final class Gate {
+    private final CountDownLatch reached = new CountDownLatch(1);
+    private final CountDownLatch open = new CountDownLatch(1);
+
+    /** For the I/O thread; stands still the first time alone. */
+    void pass() {
+      reached.countDown();
+      await(open);
+    }
+
+    void awaitReached() {
+      await(reached);
+    }
+
+    void open() {
+      open.countDown();
+    }
+
+    private static void await(CountDownLatch latch) {
+      try {
+        assertTrue(latch.await(10, TimeUnit.SECONDS), "never came");
+      } catch (InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    }
+  }
+
+  interface Step {
+    void run() throws Exception;
+  }
+
+  private Crossing() {}
+
+  /** Has deadlines run out before anything is read of what the step puts into the kernel. */
+  static void atDeadline(Site site, long micros, Step step) throws Exception {
+    Thread jump = new Thread(() -> {
+      try {
+        site.jump(micros);
+      } catch (InterruptedException e) {
+        throw new IllegalStateException(e);
+      }
+    });
+    try (Held held = site.hold()) {
+      jump.start();
+      // It waits for the I/O thread by then, which has the jump before it as the next thing to do.
+      KernelSockets.await(() -> jump.getState() == Thread.State.TIMED_WAITING);
+      step.run();
+    }
+    jump.join();
+    site.settle();
+  }
+
+  /** The port of the site's server, counted from 0. */
+  static int port(Site site, int server) {
+    return Integer.parseInt(site.instance(server, "in_service").replaceAll(".*127\\.0\\.0\\.1:(\\d+).*", "$1"));
+  }
+
+  /** Connections that came to the server and were not looked at. */
+  static int atDoor(Site site, int server) {
+    return KernelSockets.queued(port(site, server));
+  }
+
+  /**
+   * Whether a reset has ended this peer's socket: the system knows it no more then, while one that saw an end in order
+   * stands until it is closed here. Reading does not tell: an end that came before hides the reset.
+   */
+  static boolean isReset(Peer peer) {
+    return sockets(peer.socket.getLocalPort(), peer.socket.getPort()).isEmpty();
+  }
+
+  /** Sockets whose connection to this port has not come up. */
+  static long dialling(int port) {
+    return sockets(-1, port).stream().filter(SYN_SENT::equals).count();
+  }
+
+  /** States of the sockets between these ports, from any local one where that is -1. */
+  private static List<String> sockets(int local, int remote) {
+    List<String> states = new ArrayList<>();
+    try {
+      for (String table : List.of("/proc/net/tcp", "/proc/net/tcp6")) {
+        for (String line : Files.readAllLines(Path.of(table))) {
+          String[] fields = line.trim().split("\\s+");
+          if (fields[2].endsWith(hex(remote)) && (local < 0 || fields[1].endsWith(hex(local)))) {
+            states.add(fields[3]);
+          }
+        }
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return states;
+  }
+
+  private static String hex(int port) {
+    return String.format(":%04X", port);
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/proxy/DialCrossingsTest.java
@@ -0,0 +1,154 @@
+package lemondeal.proxy;
+
+import static lemondeal.proxy.Crossing.atDeadline;
+import static lemondeal.proxy.Crossing.atDoor;
+import static lemondeal.proxy.Crossing.dialling;
+import static lemondeal.proxy.Crossing.port;
+import static lemondeal.proxy.ProxyTest.OPEN;
+import static lemondeal.proxy.ProxyTest.up;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Function;
+import lemondeal.Balancer.Action;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.Established;
+import lemondeal.Balancer.Event;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.Send;
+import lemondeal.proxy.Crossing.Gate;
+import lemondeal.proxy.Site.Peer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Connections to servers that come up late, or whose server acts in the moment in which they do. */
+@Timeout(30)
+class DialCrossingsTest {
+  /** Stands still once the dial has begun, before anything is known of it. */
+  private static Function<Event, List<Action>> standingAfterTheDial(Gate gate, List<Site> sites) {
+    return event -> {
+      if (event instanceof Arrived) {
+        sites.get(0).proxy.executor().execute(gate::pass);
+      }
+      return ProxyTest.sendOnce(event);
+    };
+  }
+
+  /** A site whose server does something between the moment in which a dial has come up and that in which it is seen. */
+  private static Outcome whenUpAndUnseen(Peers act) throws Exception {
+    Gate gate = new Gate();
+    List<Site> sites = new ArrayList<>();
+    try (Site site = new Site(standingAfterTheDial(gate, sites))) {
+      sites.add(site);
+      Peer client = site.client(OPEN);
+      gate.awaitReached();
+      Peer server = site.atServer();
+      act.act(site, server);
+      gate.open();
+      Outcome outcome = site.await(Ended.class).outcome();
+      assertEquals("BUSY 250", client.line());
+      if (!server.socket.isClosed()) {
+        assertNull(server.line(), "nothing was written");
+      }
+      return outcome;
+    }
+  }
+
+  private interface Peers {
+    void act(Site site, Peer server) throws Exception;
+  }
+
+  @Test
+  void aServerThatResetsAsItsConnectionComesUpHasSeenNothing() throws Exception {
+    assertEquals(Outcome.NO_CONNECTION, whenUpAndUnseen((site, server) -> {
+      server.reset();
+      server.awaitEndQueued();
+    }));
+  }
+
+  /** Connections that nobody accepts fill the server's queue: the next ones do not come up. */
+  private static List<SocketChannel> fill(Site site, int server) throws IOException {
+    List<SocketChannel> filling = new ArrayList<>();
+    InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), port(site, server));
+    for (int i = 0; i <= 50; i++) {
+      filling.add(SocketChannel.open(address));
+    }
+    KernelSockets.await(() -> atDoor(site, server) > 50);
+    return filling;
+  }
+
+  private static void close(List<SocketChannel> channels) throws IOException {
+    for (SocketChannel channel : channels) {
+      channel.close();
+    }
+  }
+
+  /** Nobody waits for it any more: its descriptor is given back in the same turn. */
+  @Test
+  void aDialThatIsCalledOffIsClosedAtOnce() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      List<SocketChannel> filling = fill(site, 0);
+      Peer client = site.client(OPEN);
+      KernelSockets.await(() -> dialling(port(site, 0)) == 1);
+      client.endSending();
+      assertEquals(Outcome.CANCELLED, site.await(Ended.class).outcome());
+      site.settle();
+      assertEquals(0, dialling(port(site, 0)));
+      close(filling);
+    }
+  }
+
+  /** Many dials at one server that takes none end one by one, each told once, and leave nothing open. */
+  @Test
+  void manyDialsAtAServerThatTakesNoneEndEachForItself() throws Exception {
+    int count = 12;
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      List<SocketChannel> filling = fill(site, 0);
+      List<Peer> clients = new ArrayList<>();
+      for (int i = 0; i < count; i++) {
+        clients.add(site.client(OPEN));
+      }
+      KernelSockets.await(() -> dialling(port(site, 0)) == count);
+      site.jump(600_000);
+      site.jump(100_000);
+      for (Peer client : clients) {
+        assertEquals("BUSY 250", client.line());
+        assertEquals(Outcome.NO_CONNECTION, site.await(Ended.class).outcome());
+      }
+      site.settle();
+      assertEquals(0, dialling(port(site, 0)));
+      assertFalse(site.events.stream().anyMatch(Ended.class::isInstance));
+      close(filling);
+    }
+  }
+
+  /** The first try is refused at once, and the client is served by the next. */
+  @Test
+  void aDialThatIsRefusedAtOnceHasNotRun() throws Exception {
+    try (Site site = Site.of(event -> {
+      if (event instanceof Arrived e) {
+        return List.of(new Send(e.request().id(), Site.SERVER, 0));
+      }
+      return event instanceof Ended e && !e.over() ? List.of(new Send(e.id(), "s-2", 0)) : List.of();
+    }, setup -> setup.servers = 2)) {
+      site.stopServer(0);
+      Peer client = site.client(OPEN);
+      Peer second = site.atServer(1);
+      assertEquals(Outcome.NO_CONNECTION, site.await(Ended.class).outcome());
+      second.line();
+      second.send("UP r2\r\n");
+      assertEquals("UP r2", client.line());
+    }
+  }
+}
