Begin nothing for a client whose end is in the kernel already

Cause: Execution.connected wrote the first line, and ClientLink.execute and adopt dialled, by what had been read of the client. Its FIN or RST could stand in the socket behind what the turn was about (an arrival, a probe's answer, a wake, a dial that came up): the request was sent on for nobody. Ruled out: the same round of the selector, where the client's end is heard before the dial's word. Change: ClientLink.stillWaits looks at the socket first. A look may come while another link is read, so Link.readNow has a buffer of its own: it would overwrite that link's bytes in the shared one. Measured: ClientGoneCrossingsTest (FIN and RST each) and LinkTest.aLookAtOneLinkLeavesTheBytesOfAnotherAlone. Seen red without the mend, green with it.

--- a/proxy/src/main/java/lemondeal/net/Link.java
+++ b/proxy/src/main/java/lemondeal/net/Link.java
@@ -61,9 +61,14 @@
     resume();
   }
 
-  /** Reads what has come already, before the selector says so. */
+  /**
+   * Reads what has come already, before the selector says so. May be called while another link is being read, whose
+   * bytes still stand in the shared buffer.
+   */
   public void readNow() {
-    guarded(this::readable);
+    ByteBuffer bytes = net.rings().borrow();
+    guarded(() -> read(bytes));
+    net.rings().giveBack(bytes);
   }
 
   /** Room for bytes to be sent. */
--- a/proxy/src/main/java/lemondeal/net/RingPool.java
+++ b/proxy/src/main/java/lemondeal/net/RingPool.java
@@ -13,8 +13,13 @@
   }
 
   Ring take() {
+    return new Ring(borrow());
+  }
+
+  /** The memory alone, to be given back. */
+  ByteBuffer borrow() {
     ByteBuffer bytes = spare.poll();
-    return new Ring(bytes != null ? bytes : ByteBuffer.allocateDirect(ringBytes));
+    return bytes != null ? bytes : ByteBuffer.allocateDirect(ringBytes);
   }
 
   void giveBack(ByteBuffer bytes) {
--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -116,8 +116,19 @@
     return continuity.takes(upLine);
   }
 
+  /**
+   * Whether the client still waits, by all that the system has of it already. Guards against sending on for one that has
+   * gone: its end may stand in the socket behind what this turn is about.
+   */
+  boolean stillWaits() {
+    if (state == State.WAITING) {
+      link.readNow();
+    }
+    return state == State.WAITING;
+  }
+
   void execute(String server, long patience) {
-    if (state != State.WAITING || execution != null) {
+    if (execution != null || !stillWaits()) {
       int number = attempts++;
       context.decisions().tell(new Ended(id, number, server, Outcome.NOT_SENT, 0, state == State.OVER, null));
       return;
@@ -135,6 +146,9 @@
 
   /** A connection that was open before: its server is given, and no decision is made. */
   private void adopt() {
+    if (!stillWaits()) {
+      return;
+    }
     long left = adoptUntil - context.now();
     if (left <= 0) {
       throttle(context.limits().throttleFor());
--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -84,6 +84,9 @@
 
   private void connected(Link opened) {
     link = opened;
+    if (!client.stillWaits()) {
+      return;
+    }
     state = State.SENDING;
     link.start(this);
     link.send(client.firstLine(Math.max(0, deadline - context.now()), number));
--- a/proxy/src/test/java/lemondeal/net/LinkTest.java
+++ b/proxy/src/test/java/lemondeal/net/LinkTest.java
@@ -241,6 +241,35 @@
     }
   }
 
+  /** A look at one link while another is being read left the other with bytes that were not its own. */
+  @Test
+  void aLookAtOneLinkLeavesTheBytesOfAnotherAlone() throws Exception {
+    Noting looked = new Noting();
+    try (SocketChannel first = SocketChannel.open(listener.address())) {
+      Link one = next();
+      try (SocketChannel second = SocketChannel.open(listener.address())) {
+        Link two = next();
+        Noting reading = new Noting() {
+          @Override
+          public void received(ByteBuffer bytes) {
+            two.readNow();
+            super.received(bytes);
+          }
+        };
+        net.run(() -> {
+          first.write(ByteBuffer.wrap("first".getBytes(StandardCharsets.ISO_8859_1)));
+          second.write(ByteBuffer.wrap("second".getBytes(StandardCharsets.ISO_8859_1)));
+          two.start(looked);
+          one.start(reading);
+          one.readNow();
+          return null;
+        });
+        assertEquals("second", looked.next());
+        assertEquals("first", reading.next());
+      }
+    }
+  }
+
   /** Time stands still: no deadline comes. */
   private static final class Still implements Timers {
     @Override
--- a/proxy/src/test/java/lemondeal/proxy/ClientGoneCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ClientGoneCrossingsTest.java
@@ -84,6 +84,82 @@
     assertEquals(0, atDoor(site, 0), "connections begun for a client that has gone");
   }
 
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void noFirstAttemptBeginsForAClientThatHasGone(Leaving how) throws Exception {
+    Gate gate = new Gate();
+    try (Site site = new Site(sendAt(gate, Arrived.class::isInstance, null))) {
+      leaveAt(site, gate, site.client(OPEN), how);
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void noAttemptInTheModulesQueueBeginsForAClientThatHasGone(Leaving how) throws Exception {
+    Gate gate = new Gate();
+    try (Site site = new Site(sendAt(gate, Wake.class::isInstance, id -> new WakeAfter(1, 7)))) {
+      leaveAt(site, gate, site.client(OPEN), how);
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void noAttemptBeginsAtAProbesAnswerForAClientThatHasGone(Leaving how) throws Exception {
+    Gate gate = new Gate();
+    try (Site site = new Site(sendAt(gate, ProbeResult.class::isInstance, id -> new Probe(Site.SERVER)))) {
+      Peer client = site.client(OPEN);
+      Peer probed = site.atServer();
+      assertEquals("STATS", probed.line());
+      probed.send("PONG\r\n");
+      leaveAt(site, gate, client, how);
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void noRepeatBeginsForAClientThatHasGone(Leaving how) throws Exception {
+    Gate gate = new Gate();
+    try (Site site = new Site(sendAt(gate, ClientGoneCrossingsTest::isRefused, ClientGoneCrossingsTest::send))) {
+      Peer client = site.client(OPEN);
+      Peer server = site.atServer();
+      server.line();
+      server.send("BUSY\r\n");
+      assertEquals(Outcome.REFUSED, site.await(Ended.class).outcome());
+      leaveAt(site, gate, client, how);
+    }
+  }
+
+  /** The end comes between the turn in which the connection came up and the one in which it is written to. */
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void nothingIsWrittenToADialThatComesUpForAClientThatHasGone(Leaving how) throws Exception {
+    Gate dialled = new Gate();
+    Gate other = new Gate();
+    List<Site> sites = new ArrayList<>();
+    try (Site site = new Site(event -> {
+      if (event instanceof Arrived e && e.request().clientRetry()) {
+        sites.get(0).proxy.executor().execute(dialled::pass);
+      } else if (event instanceof LoadChanged) {
+        other.pass();
+      }
+      return ProxyTest.sendOnce(event);
+    })) {
+      sites.add(site);
+      Peer standing = up(site, site.client(OPEN));
+      Peer client = site.client(OPEN + ",r=1");
+      dialled.awaitReached();
+      KernelSockets.await(() -> atDoor(site, 0) == 1);
+      // Read in the same turn as the connection comes up, and the turn ends with the client's end in the kernel.
+      standing.send("LOAD 1\r\n").awaitUnread(8);
+      dialled.open();
+      other.awaitReached();
+      how.leaveNow(client);
+      other.open();
+      assertEquals(Outcome.CANCELLED, site.await(Ended.class).outcome());
+      assertNull(site.atServer().line(), "a first line for a client that has gone");
+    }
+  }
+
   /** Both are found in one turn, in whichever order the selector has them. */
   @ParameterizedTest
   @EnumSource(Leaving.class)
@@ -107,6 +183,20 @@
     }
   }
 
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void noFurtherTryBeginsForAnAdoptionThatHasGone(Leaving how) throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN + ",at=" + Site.SERVER);
+      Peer server = site.atServer();
+      server.line();
+      server.close();
+      site.settle();
+      atDeadline(site, site.limits().adoptPause() + site.limits().tick(), () -> how.leaveNow(client));
+      assertEquals(0, atDoor(site, 0), "tries begun for a client that has gone");
+    }
+  }
+
   /** The leavers' places are taken by newcomers in the same turn; late words on a leaver must not find them. */
   @Test
   void staleWordsDoNotReachTheNewcomerInASlot() throws Exception {
@@ -143,6 +233,41 @@
     }
   }
 
+  /** Each place that a leaver frees goes to the next in the module's queue, who has left in the same turn. */
+  @ParameterizedTest
+  @EnumSource(Leaving.class)
+  void aBurstOfLeaversHandsItsPlacesToNoneOfThem(Leaving how) throws Exception {
+    Queue<String> queue = new ArrayDeque<>();
+    try (Site site = new Site(event -> {
+      if (event instanceof Arrived e) {
+        queue.add(e.request().id());
+      } else if (event instanceof ClientGone e) {
+        queue.remove(e.id());
+        return queue.isEmpty() ? List.of() : List.of(send(queue.poll()));
+      }
+      return List.of();
+    })) {
+      List<Peer> leavers = new ArrayList<>();
+      for (int i = 0; i < BURST; i++) {
+        leavers.add(site.client(OPEN));
+        site.await(Arrived.class);
+      }
+      Peer stays = site.client(OPEN);
+      site.await(Arrived.class);
+      try (Held held = site.hold()) {
+        for (Peer leaver : leavers) {
+          how.leaveNow(leaver);
+        }
+      }
+      up(site, stays);
+      for (int i = 0; i < BURST; i++) {
+        site.await(ClientGone.class);
+      }
+      site.settle();
+      assertEquals(0, atDoor(site, 0), "connections begun for clients that have gone");
+    }
+  }
+
   /** A client that leaves with its attempt out, while a move of it is decided. */
   @ParameterizedTest
   @EnumSource(Leaving.class)
