Write nothing to a server whose dial took longer than a drain grants

Cause: Execution.connected wrote whenever the dial came up, up to dialTimeout after the decision. Ruled out: decisions themselves, which name ready servers alone. Change: a dial lasts for the grace at most, and what comes up later is not written to. Measured: DialCrossingsTest.aDialThatComesUpBehindADrainsGraceIsNotWrittenTo. Seen red without the mend, green with it.

--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -78,7 +78,7 @@
       return;
     }
     timeout = client.link().after(patience, this::timedOut);
-    dial = context.net().dial(address, context.limits().dial(), this::connected,
+    dial = context.net().dial(address, Math.min(context.limits().dial(), drainGrace()), this::connected,
         () -> end(Outcome.NO_CONNECTION, null));
   }
 
@@ -87,12 +87,26 @@
     if (!client.stillWaits()) {
       return;
     }
+    if (elapsed() > drainGrace()) {
+      end(Outcome.NO_CONNECTION, null);
+      return;
+    }
     state = State.SENDING;
     link.start(this);
     link.send(client.firstLine(Math.max(0, deadline - context.now()), number));
     sent();
   }
 
+  /**
+   * From the decision to the first byte a dial may not take longer than a drain grants. The server may be told as
+   * draining right after the decision, and a send counts from its first byte (PROTOCOL, Figures). Settings without the
+   * figure have no such rule.
+   */
+  private long drainGrace() {
+    long grace = context.config().settings().rules().drainGrace();
+    return grace > 0 ? grace : Long.MAX_VALUE;
+  }
+
   /** Counts the attempt once its line's last byte is written, which may be at once or later. */
   private void sent() {
     if (state == State.SENDING && link.isFlushed()) {
--- a/proxy/src/test/java/lemondeal/proxy/DialCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/DialCrossingsTest.java
@@ -77,6 +77,38 @@
     }));
   }
 
+  /**
+   * The server may have been told as draining right after the decision: a first line that a late dial wrote behind the
+   * grace was a send to a draining server.
+   */
+  @Test
+  void aDialThatComesUpBehindADrainsGraceIsNotWrittenTo() throws Exception {
+    long grace = 100_000;
+    Gate gate = new Gate();
+    List<Site> sites = new ArrayList<>();
+    try (Site site = Site.of(standingAfterTheDial(gate, sites), setup -> setup.config =
+        json -> json.replace("\"azs\"", "\"rules\":{\"drainGrace\":" + grace + "},\"azs\""))) {
+      sites.add(site);
+      Peer client = site.client(OPEN);
+      gate.awaitReached();
+      Thread jump = new Thread(() -> {
+        try {
+          site.jump(grace + 1);
+        } catch (InterruptedException e) {
+          throw new IllegalStateException(e);
+        }
+      });
+      jump.start();
+      KernelSockets.await(() -> jump.getState() == Thread.State.TIMED_WAITING);
+      Peer server = site.atServer();
+      gate.open();
+      assertEquals(Outcome.NO_CONNECTION, site.await(Ended.class).outcome());
+      assertNull(server.line(), "nothing is written behind the grace");
+      assertEquals("BUSY 250", client.line());
+      jump.join();
+    }
+  }
+
   /** Connections that nobody accepts fill the server's queue: the next ones do not come up. */
   private static List<SocketChannel> fill(Site site, int server) throws IOException {
     List<SocketChannel> filling = new ArrayList<>();
