Take an UP without a receipt for a spoilt answer

Cause: Execution.awaitUp took any line whose first word is UP, and the client was served with what no server made for it (PROTOCOL: "the UP RECEIPT line"). Measured: ClosingCrossingsTest.aSpoiltAnswerFailsItsAttempt. Seen red without the mend, green with it.

--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -131,7 +131,7 @@
     }
     ServerLine answer = ServerLine.parse(line);
     switch (answer.kind()) {
-      case UP -> cameUp(line);
+      case UP -> cameUp(line, answer);
       case BUSY -> end(Outcome.REFUSED, Reports.read(answer));
       case MOVE -> end(Outcome.CANCELLED, null);
       case BYE -> client.servedAtOnce(this, line, Reports.read(answer));
@@ -139,8 +139,9 @@
     }
   }
 
-  private void cameUp(String line) {
-    if (!client.takes(line)) {
+  /** Guards against an answer that is none: one without a receipt. */
+  private void cameUp(String line, ServerLine answer) {
+    if (answer.rest().isEmpty() || !client.takes(line)) {
       end(Outcome.ERROR, null);
       return;
     }
--- a/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
@@ -92,6 +92,20 @@
 
   // ---- Servers' last words ---------------------------------------------------------------------
 
+  /** An UP without a receipt serves nobody: the client would be given what no server made for it. */
+  @ParameterizedTest
+  @ValueSource(strings = {"UP", "UP ", "UPPER r1", "up r1", "x"})
+  void aSpoiltAnswerFailsItsAttempt(String answer) throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = site.atServer();
+      server.line();
+      server.send(answer + "\r\n");
+      assertEquals(Outcome.ERROR, site.await(Ended.class).outcome());
+      assertEquals("BUSY 250", client.line());
+    }
+  }
+
   /** Its first link's late second answer belongs to nobody: the repeat is answered on its own. */
   @Test
   void aSecondAnswerBehindARefusalDoesNotReachTheRepeat() throws Exception {
