Look at a new server link before its first line is written

Cause: Execution.connected wrote at once. A server that had closed or refused by then made the attempt one that may have run, so that classes which may not be repeated failed; one that had said UP before anything was written served the client with an answer to nothing. Change: the link is looked at first; what ends or speaks before the first line has not run, and BUSY is a refusal. Measured: DialCrossingsTest.aServerThatClosesAsItsConnectionComesUpHasSeenNothing and whatIsSaidBeforeTheFirstLineIsNoAnswerToIt. Seen red without the mend, green with it.

--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -82,6 +82,10 @@
         () -> end(Outcome.NO_CONNECTION, null));
   }
 
+  /**
+   * Writes the first line, unless there is nobody to write it for or to: a dial takes its time, and either side may
+   * have ended meanwhile without this turn having come to it.
+   */
   private void connected(Link opened) {
     link = opened;
     if (!client.stillWaits()) {
@@ -93,8 +97,11 @@
     }
     state = State.SENDING;
     link.start(this);
-    link.send(client.firstLine(Math.max(0, deadline - context.now()), number));
-    sent();
+    link.readNow();
+    if (state == State.SENDING) {
+      link.send(client.firstLine(Math.max(0, deadline - context.now()), number));
+      sent();
+    }
   }
 
   /**
@@ -133,16 +140,16 @@
     switch (answer.kind()) {
       case UP -> cameUp(line, answer);
       case BUSY -> end(Outcome.REFUSED, Reports.read(answer));
-      case MOVE -> end(Outcome.CANCELLED, null);
-      case BYE -> client.servedAtOnce(this, line, Reports.read(answer));
-      default -> end(Outcome.ERROR, Reports.read(answer));
+      case MOVE -> end(unlessUnsent(Outcome.CANCELLED), null);
+      case BYE -> servedAtOnce(line, answer);
+      default -> end(unlessUnsent(Outcome.ERROR), Reports.read(answer));
     }
   }
 
-  /** Guards against an answer that is none: one without a receipt. */
+  /** Guards against an answer that is none to this line: one that came before it, or without a receipt. */
   private void cameUp(String line, ServerLine answer) {
-    if (answer.rest().isEmpty() || !client.takes(line)) {
-      end(Outcome.ERROR, null);
+    if (state != State.SENT || answer.rest().isEmpty() || !client.takes(line)) {
+      end(unlessUnsent(Outcome.ERROR), null);
       return;
     }
     state = State.UP;
@@ -151,6 +158,14 @@
     client.up(this, line);
   }
 
+  private void servedAtOnce(String line, ServerLine answer) {
+    if (state == State.SENT) {
+      client.servedAtOnce(this, line, Reports.read(answer));
+    } else {
+      end(Outcome.NO_CONNECTION, null);
+    }
+  }
+
   // ---- From UP on ----------------------------------------------------------------------------
 
   @Override
@@ -195,7 +210,7 @@
     if (state == State.UP) {
       tunnel.breakOff(Outcome.ERROR);
     } else {
-      end(Outcome.ERROR, null);
+      end(unlessUnsent(Outcome.ERROR), null);
     }
   }
 
--- a/proxy/src/test/java/lemondeal/proxy/DialCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/DialCrossingsTest.java
@@ -69,6 +69,12 @@
     void act(Site site, Peer server) throws Exception;
   }
 
+  /** A server that closes at once once made a request that nobody had seen count as one that may have run. */
+  @Test
+  void aServerThatClosesAsItsConnectionComesUpHasSeenNothing() throws Exception {
+    assertEquals(Outcome.NO_CONNECTION, whenUpAndUnseen((site, server) -> server.endSending().awaitEndQueued()));
+  }
+
   @Test
   void aServerThatResetsAsItsConnectionComesUpHasSeenNothing() throws Exception {
     assertEquals(Outcome.NO_CONNECTION, whenUpAndUnseen((site, server) -> {
@@ -77,6 +83,14 @@
     }));
   }
 
+  /** What a server says before the first line is no answer to it, but for a refusal. */
+  @ParameterizedTest
+  @CsvSource({"BUSY, REFUSED", "UP r0, NO_CONNECTION", "BYE, NO_CONNECTION", "ERR, NO_CONNECTION", "x, NO_CONNECTION"})
+  void whatIsSaidBeforeTheFirstLineIsNoAnswerToIt(String said, Outcome outcome) throws Exception {
+    assertEquals(outcome, whenUpAndUnseen((site, server) ->
+        server.send(said + "\r\n").awaitUnread(said.length() + 2)));
+  }
+
   /**
    * The server may have been told as draining right after the decision: a first line that a late dial wrote behind the
    * grace was a send to a draining server.
