Look for the answer once more when an attempt's time runs out

Cause: deadlines run before the selector is asked. After a pause of the proxy's own, an UP that had come in time lay unread as the attempt was given up, and its client was told BUSY for a connection that stood. Measured: DialCrossingsTest.anAnswerThatIsThereWhenTheTimeRunsOutCounts.

--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -122,8 +122,14 @@
     }
   }
 
+  /** Looks once more first: the answer may have come while the proxy itself stood still. */
   private void timedOut() {
-    end(Outcome.TIMED_OUT, null);
+    if (link != null) {
+      link.readNow();
+    }
+    if (state != State.UP) {
+      end(Outcome.TIMED_OUT, null);
+    }
   }
 
   /** PROTOCOL: what ends before the line's last byte was written has never run. */
--- a/proxy/src/test/java/lemondeal/proxy/DialCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/DialCrossingsTest.java
@@ -197,4 +197,17 @@
       assertEquals("UP r2", client.line());
     }
   }
+
+  /** The answer was in the kernel when the time ran out: the proxy itself had stood still. */
+  @Test
+  void anAnswerThatIsThereWhenTheTimeRunsOutCounts() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = site.atServer();
+      server.line();
+      atDeadline(site, 2_000_000, () -> server.send("UP r1\r\n").awaitUnread(7));
+      assertEquals("UP r1", client.line());
+      site.await(Established.class);
+    }
+  }
 }
