Tell an attempt whose line was not written in time as one that never ran

Cause: Execution.start told TIMED_OUT whatever had been written. A dial that outlasted its attempt counted as one that may have run: its request could not be repeated or refused where the class forbids it (PROTOCOL: "never comes up, or breaks before the line's last byte is written: could not connect"). An attempt whose time was over before it began is NOT_SENT, as WIRE section 11 has it. Measured: DialCrossingsTest.anAttemptWhoseDialOutlastsItHasNotRunAndItsDialIsNoMoreHeardOf.

--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -73,7 +73,7 @@
     deadline = begun + patience;
     InetSocketAddress address = context.group().address(server);
     if (patience < 0 || address == null) {
-      Outcome outcome = patience < 0 ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION;
+      Outcome outcome = patience < 0 ? Outcome.NOT_SENT : Outcome.NO_CONNECTION;
       context.net().later(() -> client.link().guarded(() -> end(outcome, null)));
       return;
     }
@@ -128,7 +128,7 @@
       link.readNow();
     }
     if (state != State.UP) {
-      end(Outcome.TIMED_OUT, null);
+      end(unlessUnsent(Outcome.TIMED_OUT), null);
     }
   }
 
--- a/proxy/src/test/java/lemondeal/proxy/DialCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/DialCrossingsTest.java
@@ -155,6 +155,32 @@
     }
   }
 
+  /** A dial that outlasts its attempt has written nothing: the request has not run, and goes elsewhere. */
+  @Test
+  void anAttemptWhoseDialOutlastsItHasNotRunAndItsDialIsNoMoreHeardOf() throws Exception {
+    try (Site site = Site.of(event -> {
+      if (event instanceof Arrived e) {
+        return List.of(new Send(e.request().id(), Site.SERVER, 200_000));
+      }
+      return event instanceof Ended e && !e.over() ? List.of(new Send(e.id(), "s-2", 0)) : List.of();
+    }, setup -> setup.servers = 2)) {
+      List<SocketChannel> filling = fill(site, 0);
+      Peer client = site.client(OPEN);
+      Peer second = site.atServer(1);
+      Ended first = site.await(Ended.class);
+      assertEquals(Outcome.NO_CONNECTION, first.outcome());
+      assertEquals(0, first.attempt());
+      assertTrue(second.line().startsWith("OPEN "));
+      close(filling);
+      site.stopServer(0);
+      site.settle();
+      second.send("UP r2\r\n");
+      assertEquals("UP r2", client.line());
+      assertEquals(1, site.await(Established.class).attempt());
+      assertFalse(site.events.stream().anyMatch(Ended.class::isInstance), "the first is heard of once");
+    }
+  }
+
   /** Many dials at one server that takes none end one by one, each told once, and leave nothing open. */
   @Test
   void manyDialsAtAServerThatTakesNoneEndEachForItself() throws Exception {
