Let no late second answer change how a connection ended

Cause: Execution.pass kept the last line of all. An ERR, BUSY or LOAD behind BYE made a connection that was served to its end a reset. Change: the first BYE or MOVE stands; what comes behind it is passed on and belongs to nobody. Measured: ClosingCrossingsTest.aSecondAnswerBehindTheLastWordDoesNotChangeIt, four answers.

--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -205,13 +205,20 @@
       if (line != null) {
         tunnel.passLine(line);
         ServerLine read = ServerLine.parse(line);
-        last = read;
+        note(read);
         tunnel.lineFromServer(read);
       }
     }
     bytes.position(bytes.limit());
   }
 
+  /** What comes behind a server's last word belongs to nobody, and does not change how the connection ended. */
+  private void note(ServerLine line) {
+    if (endOutcome() == Outcome.RESET) {
+      last = line;
+    }
+  }
+
   private void unreadable() {
     if (state == State.UP) {
       tunnel.breakOff(Outcome.ERROR);
--- a/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
@@ -92,6 +92,22 @@
 
   // ---- Servers' last words ---------------------------------------------------------------------
 
+  /** PROTOCOL: BYE, then the end of the connection, is served to its end; what comes behind it belongs to nobody. */
+  @ParameterizedTest
+  @ValueSource(strings = {"ERR", "BUSY", "UP r2", "LOAD 3"})
+  void aSecondAnswerBehindTheLastWordDoesNotChangeIt(String second) throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      server.send("BYE\r\n");
+      assertEquals("BYE", client.line());
+      server.send(second + "\r\n").close();
+      assertEquals(second, client.line());
+      assertNull(client.line());
+      assertEquals(Outcome.SERVED, site.await(Ended.class).outcome());
+    }
+  }
+
   /** An UP without a receipt serves nobody: the client would be given what no server made for it. */
   @ParameterizedTest
   @ValueSource(strings = {"UP", "UP ", "UPPER r1", "up r1", "x"})
