End the client in order when its server's BYE is followed by a reset

Cause: Execution.broken passed the server's reset on also behind its last word, and the client's reset overtook the BYE. Measured: ClosingCrossingsTest.aResetBehindTheLastWordEndsTheClientInOrder. Seen red without the mend, green with it.

--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -270,12 +270,15 @@
     }
   }
 
+  /** A server that has said its last word has ended in good order, and a reset would overtake that word. */
   @Override
   public void broken() {
     if (state != State.UP) {
       end(unlessUnsent(Outcome.RESET), null);
+    } else if (endOutcome() == Outcome.RESET) {
+      tunnel.breakOff(Outcome.RESET);
     } else {
-      tunnel.breakOff(endOutcome());
+      tunnel.finish(true);
     }
   }
 
--- a/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
@@ -108,6 +108,23 @@
     }
   }
 
+  /** The server's reset behind its BYE was once passed on as one, and overtook the BYE. */
+  @Test
+  void aResetBehindTheLastWordEndsTheClientInOrder() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      try (Site.Held held = site.hold()) {
+        server.send("BYE\r\n").awaitUnread(5);
+        server.reset();
+        server.awaitEndQueued();
+      }
+      assertEquals(Outcome.SERVED, site.await(Ended.class).outcome());
+      assertEquals("BYE", client.line());
+      assertEndedInOrder(client);
+    }
+  }
+
   /** An UP without a receipt serves nobody: the client would be given what no server made for it. */
   @ParameterizedTest
   @ValueSource(strings = {"UP", "UP ", "UPPER r1", "up r1", "x"})
