Move a client whose server sends what can not be read, rather than cut it off

Cause: after UP, a line over 4 KiB or without CRLF went to ClientLink.breakOff, which resets the client: cut off without MOVE while its server still answers (PROTOCOL, rules on sockets). The client has had whole lines alone, so that a MOVE can always follow. Measured: ClosingCrossingsTest.aServerThatCanNoMoreBeReadHasItsClientMoved, both spoilt lines. Seen red without the mend, green with it.

--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -219,9 +219,10 @@
     }
   }
 
+  /** Its client has had whole lines alone, and so can be moved. */
   private void unreadable() {
     if (state == State.UP) {
-      tunnel.breakOff(Outcome.ERROR);
+      tunnel.moveNow(Outcome.ERROR);
     } else {
       end(unlessUnsent(Outcome.ERROR), null);
     }
--- a/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
@@ -125,6 +125,21 @@
     }
   }
 
+  /** PROTOCOL: a client is moved, not cut off, while its server still answers. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 5000})
+  void aServerThatCanNoMoreBeReadHasItsClientMoved(int endless) throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      server.send("whole\r\n" + (endless == 0 ? "\0\n" : "x".repeat(endless)));
+      assertEquals("whole", client.line());
+      assertEquals("MOVE", client.line());
+      assertNull(client.line());
+      assertEquals(Outcome.ERROR, site.await(Ended.class).outcome());
+    }
+  }
+
   /** An UP without a receipt serves nobody: the client would be given what no server made for it. */
   @ParameterizedTest
   @ValueSource(strings = {"UP", "UP ", "UPPER r1", "up r1", "x"})
