Keep a move and a server's end from putting each other off

Cause: ClientLink.move and oneEnded shared a timer. A move of a client whose server had ended in the middle of a line called that end off for 5 s (PROTOCOL: a second); a server that ended in the line that a move waited for ended the client without its MOVE. Change: the tunnel's states exclude each other: what is ENDING is not moved, and the end of a server moves whom it was MOVING. Measured: ClosingCrossingsTest.aServerThatEndsInTheLineThatAMoveWaitsForHasItsClientMoved and aMoveDoesNotPutOffTheEndOfAConnectionWhoseServerHasEnded. Seen red without the mend, green with it.

--- a/proxy/src/main/java/lemondeal/proxy/Tunnel.java
+++ b/proxy/src/main/java/lemondeal/proxy/Tunnel.java
@@ -40,7 +40,7 @@
 
   /** Whether its client has not been sent away and does not go by itself. */
   boolean isMovable() {
-    return state == State.OPEN || state == State.ENDING;
+    return state == State.OPEN;
   }
 
   // ---- Passing on ----------------------------------------------------------------------------
@@ -113,14 +113,13 @@
 
   /** Sends the client away between two lines, or after a while without the end of one. */
   void move() {
-    if (state != State.OPEN && state != State.ENDING) {
+    if (state != State.OPEN) {
       return;
     }
     if (execution.betweenLines()) {
       moveNow(Outcome.CANCELLED);
     } else {
       state = State.MOVING;
-      Timers.cancel(timer);
       timer = client.after(context.limits().moveWithin(), () -> moveNow(Outcome.CANCELLED));
     }
   }
@@ -138,8 +137,15 @@
     execution.end(outcome, null);
   }
 
-  /** The server has ended its sending, and so does this side: the other direction has a moment more. */
+  /**
+   * The server has ended its sending, and so does this side: the other direction has a moment more. A client that was
+   * to be moved at the end of the line will not see that end any more, and is moved now.
+   */
   void serverEnded() {
+    if (state == State.MOVING) {
+      moveNow(Outcome.CANCELLED);
+      return;
+    }
     serverEnded = true;
     client.endSending();
     oneEnded(!clientEnded);
--- a/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
@@ -67,6 +67,39 @@
     site.settle();
   }
 
+  /** The move waited for the end of a line that cannot come any more, and the client was ended without it. */
+  @Test
+  void aServerThatEndsInTheLineThatAMoveWaitsForHasItsClientMoved() throws Exception {
+    try (Site site = new Site(movingTheFirst(new CopyOnWriteArrayList<>()))) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      Peer other = up(site, site.client(OPEN));
+      server.send("whole\r\nhal");
+      assertEquals("whole", client.line());
+      move(site, other);
+      server.endSending();
+      assertEquals("MOVE", client.line());
+      assertNull(client.line());
+      assertEquals(Outcome.CANCELLED, site.await(Ended.class).outcome());
+    }
+  }
+
+  /** PROTOCOL: a connection that its server has ended is ended within a second. A move once put that off for 5 s. */
+  @Test
+  void aMoveDoesNotPutOffTheEndOfAConnectionWhoseServerHasEnded() throws Exception {
+    try (Site site = new Site(movingTheFirst(new CopyOnWriteArrayList<>()))) {
+      Peer client = site.client(OPEN);
+      Peer server = up(site, client);
+      Peer other = up(site, site.client(OPEN));
+      server.send("whole\r\nhal").endSending();
+      assertEquals("whole", client.line());
+      assertNull(client.line());
+      move(site, other);
+      site.jump(site.limits().linger() + MORE);
+      assertTrue(hasEnded(site), "the connection is over");
+    }
+  }
+
   /** The client rests; it writes in the instant of its MOVE, and its server in that of the end. */
   @Test
   void bytesThatCrossAMoveDoNotTakeItAlong() throws Exception {
