Read what has come before a failed write ends a link

Cause: Link.flush closed the link as soon as a write failed. A server's last line that lay unread (BYE or BUSY and a reset, written to just then) was dropped, and its client got a reset in its place. Measured: LinkTest.aFailedWriteDoesNotSwallowWhatHasCome. Seen red without the mend, green with it.

--- a/proxy/src/main/java/lemondeal/net/Link.java
+++ b/proxy/src/main/java/lemondeal/net/Link.java
@@ -245,10 +245,16 @@
       }
     } catch (IOException e) {
       // Told later: whoever sends must not hear of the failure in the middle of its own work.
-      net.later(() -> guarded(this::broke));
+      net.later(() -> guarded(this::writeFailed));
     }
   }
 
+  /** What came before the other side went is still taken: it may be the last answer. */
+  private void writeFailed() {
+    readable();
+    broke();
+  }
+
   private void broke() {
     if (!closed) {
       Owner told = owner;
--- a/proxy/src/test/java/lemondeal/net/LinkTest.java
+++ b/proxy/src/test/java/lemondeal/net/LinkTest.java
@@ -218,6 +218,29 @@
     peer.close();
   }
 
+  /** A server's last line, and its reset: a write that found the reset first once had the line dropped. */
+  @Test
+  void aFailedWriteDoesNotSwallowWhatHasCome() throws Exception {
+    Noting owner = new Noting();
+    try (SocketChannel peer = SocketChannel.open(listener.address())) {
+      Link link = next();
+      started(link, owner);
+      net.run(() -> {
+        peer.write(ByteBuffer.wrap("BYE".getBytes(StandardCharsets.ISO_8859_1)));
+        reset(peer);
+        // Nothing is read before this: it is the I/O thread that writes.
+        link.send("x");
+        return null;
+      });
+      assertEquals("BYE", owner.next());
+      List<String> rest = new ArrayList<>(List.of(owner.next()));
+      if (rest.get(0).equals("ended")) {
+        rest.add(owner.next());
+      }
+      assertEquals("broken", rest.get(rest.size() - 1));
+    }
+  }
+
   /** What was left unwritten is known when the connection breaks, though the link is closed by then. */
   @Test
   void aBrokenLinkTellsWhetherAllWasWritten() throws Exception {
