Answer a connection that rests for too long, and serve the line that is there

Change: a last look for the line; then BUSY, which holds for a line that is still under way since nothing behind it is sent on (bad clients are owed a close, ERR or BUSY); half-close, and read on for a moment. Who asks with PING is told nothing but PONG. Measured: ClosingCrossingsTest.aFirstLineThatIsThereWhenItsTimeRunsOutIsServed, aFirstLineBehindTheEndOfARestingConnectionIsNotSentOn and halfALineAsARestingConnectionIsClosedDoesNotResetIt. Seen red without the mend, green with it.

--- a/proxy/src/main/java/lemondeal/proxy/FinalAnswer.java
+++ b/proxy/src/main/java/lemondeal/proxy/FinalAnswer.java
@@ -7,6 +7,7 @@
 final class FinalAnswer {
   private static final long MILLI = 1000;
   private static final String FAILED = "ERR\r\n";
+  private static final String THROTTLED = "BUSY\r\n";
 
   private final Figures figures;
 
@@ -17,7 +18,7 @@
   /** Throttles: trying again is harmless, after this time if it is not 0. */
   void busy(Link link, int requestClass, long micros) {
     figures.refused(requestClass);
-    end(link, micros <= 0 ? "BUSY\r\n" : "BUSY " + (micros + MILLI - 1) / MILLI + "\r\n");
+    end(link, micros <= 0 ? THROTTLED : "BUSY " + (micros + MILLI - 1) / MILLI + "\r\n");
   }
 
   void failed(Link link, int requestClass) {
@@ -35,6 +36,11 @@
     end(link, FAILED);
   }
 
+  /** Ends one that has sent no request; should one be under way, trying again is harmless. */
+  void rested(Link link) {
+    end(link, THROTTLED);
+  }
+
   private static void end(Link link, String line) {
     link.send(line);
     link.finish();
--- a/proxy/src/main/java/lemondeal/proxy/PendingLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/PendingLink.java
@@ -22,6 +22,7 @@
   private final Link link;
   private final LineParser lines;
   private Timers.Timer timer;
+  private boolean pinged;
   private boolean over;
 
   PendingLink(Context context, AdmissionControl admission, EvictingSet<PendingLink> pending, Link link) {
@@ -33,7 +34,7 @@
   }
 
   void start() {
-    timer = link.after(context.limits().firstLine(), this::drop);
+    timer = link.after(context.limits().firstLine(), this::rested);
     link.start(this);
     pending.enter(this);
   }
@@ -65,6 +66,7 @@
 
   private void firstLine(String line, boolean moreFollows) throws ProtocolException {
     if (line.equals("PING")) {
+      pinged = true;
       link.send("PONG\r\n");
       return;
     }
@@ -85,6 +87,24 @@
     }
   }
 
+  /**
+   * Ends a connection that has rested for too long. Guards a client whose first line is under way just then: what it
+   * gets must be an answer, and a true one, since nothing that comes behind it is sent on. Who asks with PING is told
+   * nothing else.
+   */
+  private void rested() {
+    link.readNow();
+    if (over) {
+      return;
+    }
+    if (pinged) {
+      drop();
+    } else {
+      leave();
+      context.answers().rested(link);
+    }
+  }
+
   /**
    * Leaves for others that come, unless the first line has come in the meantime. Guards against usual clients
    * that come in a burst: they are accepted by the hundred before the first of them is read.
@@ -96,10 +116,10 @@
     }
   }
 
-  /** Ends the connection without a word. */
+  /** Ends the connection without a word, but such that what was answered to {@code PING} arrives. */
   private void drop() {
     leave();
-    link.close();
+    link.finish();
   }
 
   private void leave() {
@@ -115,7 +135,7 @@
 
   @Override
   public void broken() {
-    drop();
+    leave();
   }
 
   @Override
--- a/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
@@ -47,6 +47,48 @@
 
   // ---- Connections without a request ----------------------------------------------------------
 
+  /** The line was there, and its client was once reset without an answer. */
+  @Test
+  void aFirstLineThatIsThereWhenItsTimeRunsOutIsServed() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client();
+      site.settle();
+      atDeadline(site, site.limits().firstLine() + MORE, () ->
+          client.send(ProxyTest.ID + OPEN + "\r\n").awaitUnread(ProxyTest.ID.length() + OPEN.length() + 2));
+      up(site, client);
+    }
+  }
+
+  /** A request that crosses the end on the wire is answered by it, and never sent on. */
+  @Test
+  void aFirstLineBehindTheEndOfARestingConnectionIsNotSentOn() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client();
+      site.settle();
+      atDeadline(site, site.limits().firstLine() + MORE, () -> { });
+      client.send(ProxyTest.ID + OPEN + "\r\n");
+      site.settle();
+      assertEquals("BUSY", client.line());
+      assertEndedInOrder(client);
+      assertEquals(0, atDoor(site, 0));
+      assertFalse(site.events.stream().anyMatch(Arrived.class::isInstance));
+    }
+  }
+
+  /** Half a line lay unread as the connection was closed: a reset took the PONG along. */
+  @Test
+  void halfALineAsARestingConnectionIsClosedDoesNotResetIt() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client().send("PING\r\n");
+      assertEquals("PONG", client.line());
+      site.settle();
+      atDeadline(site, site.limits().firstLine() + MORE, () -> client.send("OPEN 00").awaitUnread(7));
+      client.send("00");
+      site.settle();
+      assertEndedInOrder(client);
+    }
+  }
+
   // ---- Sides that linger behind their last answer ----------------------------------------------
 
   // ---- Moves ----------------------------------------------------------------------------------
