Drop what is unread before a lingering side is closed

Cause: Link.close, when the half second of a lingering side was over or it made room for others, closed over bytes that had come just then: a reset behind the last answer. Measured: ClosingCrossingsTest.bytesThatComeAsALingeringSideIsClosedDoNotResetIt and bytesThatComeAsALingeringSideMakesRoomDoNotResetIt. Seen red without the mend, green with it.

--- a/proxy/src/main/java/lemondeal/net/Link.java
+++ b/proxy/src/main/java/lemondeal/net/Link.java
@@ -156,6 +156,7 @@
       if (lingering != null) {
         lingering.cancel();
         net.lingering().leave(this);
+        dropUnread();
       }
       IoUtils.safeClose(connection);
       if (out != null) {
@@ -164,6 +165,21 @@
     }
   }
 
+  /** Guards the last answer of a side that lingers no longer: a close over unread bytes would reset it. */
+  private void dropUnread() {
+    ByteBuffer bytes = net.rings().borrow();
+    try {
+      int left = net.limits().turnBytes();
+      for (int count = 1; count > 0 && left > 0; left -= count) {
+        count = source.read(bytes.clear());
+      }
+    } catch (IOException e) {
+      // The other side was reset: nothing can reach it any more.
+    } finally {
+      net.rings().giveBack(bytes);
+    }
+  }
+
   /** Closes with a reset, as the other side of a connection that was reset itself should see it. */
   public void reset() {
     if (!closed) {
--- a/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
@@ -91,6 +91,45 @@
 
   // ---- Sides that linger behind their last answer ----------------------------------------------
 
+  @Test
+  void bytesThatComeAsALingeringSideIsClosedDoNotResetIt() throws Exception {
+    try (Site site = new Site(ProxyTest::sendOnce)) {
+      Peer client = site.client().send("garbage\r\n");
+      assertEquals("ERR", client.line());
+      site.settle();
+      atDeadline(site, site.limits().linger() + MORE, () -> client.send("more\r\n").awaitUnread(6));
+      assertEndedInOrder(client);
+    }
+  }
+
+  /** There is room for so many; who is sent away for others may have sent more meanwhile. */
+  @Test
+  void bytesThatComeAsALingeringSideMakesRoomDoNotResetIt() throws Exception {
+    List<String> waiting = new CopyOnWriteArrayList<>();
+    try (Site site = Site.of(event -> {
+      if (event instanceof Arrived e) {
+        waiting.add(e.request().id());
+        return waiting.size() == 1 ? List.of(new WakeAfter(100_000, 7)) : List.of();
+      }
+      return event instanceof Wake ? waiting.stream().map(id -> (Action) new Refuse(id, 0)).toList() : List.of();
+    }, setup -> setup.sockets = 256)) {
+      List<Peer> others = new ArrayList<>();
+      for (int i = 0; i < site.limits().lingering(); i++) {
+        others.add(site.client(OPEN));
+        site.await(Arrived.class);
+      }
+      Peer client = site.client().send("garbage\r\n");
+      assertEquals("ERR", client.line());
+      site.settle();
+      atDeadline(site, 100_000 + MORE, () -> client.send("more\r\n").awaitUnread(6));
+      assertEndedInOrder(client);
+      for (Peer other : others) {
+        assertEquals("BUSY", other.line());
+        assertNull(other.line());
+      }
+    }
+  }
+
   // ---- Moves ----------------------------------------------------------------------------------
 
   /** Moves the first client at the word of another connection. */
