Have the closing tests wait until the proxy has accepted, read or closed what they build on

Cause: three of twenty runs at a load of 16 had ClosingCrossingsTest.aFirstLineBehindTheEndOfARestingConnectionIsNotSentOn served: its connection still waited in the listen queue as the clock moved on, since Site.settle does not mean that a select has come between. The same gap let two others pass without their crossing. Now each waits for the event itself, in the system's socket tables.

--- a/proxy/src/test/java/lemondeal/proxy/ClientGoneCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ClientGoneCrossingsTest.java
@@ -191,7 +191,7 @@
       Peer server = site.atServer();
       server.line();
       server.close();
-      site.settle();
+      Crossing.awaitClosed(server);
       atDeadline(site, site.limits().adoptPause() + site.limits().tick(), () -> how.leaveNow(client));
       assertEquals(0, atDoor(site, 0), "tries begun for a client that has gone");
     }
--- a/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ClosingCrossingsTest.java
@@ -51,8 +51,7 @@
   @Test
   void aFirstLineThatIsThereWhenItsTimeRunsOutIsServed() throws Exception {
     try (Site site = new Site(ProxyTest::sendOnce)) {
-      Peer client = site.client();
-      site.settle();
+      Peer client = Crossing.resting(site);
       atDeadline(site, site.limits().firstLine() + MORE, () ->
           client.send(ProxyTest.ID + OPEN + "\r\n").awaitUnread(ProxyTest.ID.length() + OPEN.length() + 2));
       up(site, client);
@@ -63,13 +62,13 @@
   @Test
   void aFirstLineBehindTheEndOfARestingConnectionIsNotSentOn() throws Exception {
     try (Site site = new Site(ProxyTest::sendOnce)) {
-      Peer client = site.client();
-      site.settle();
+      Peer client = Crossing.resting(site);
       atDeadline(site, site.limits().firstLine() + MORE, () -> { });
       client.send(ProxyTest.ID + OPEN + "\r\n");
-      site.settle();
       assertEquals("BUSY", client.line());
       assertEndedInOrder(client);
+      Crossing.awaitRead(client);
+      site.settle();
       assertEquals(0, atDoor(site, 0));
       assertFalse(site.events.stream().anyMatch(Arrived.class::isInstance));
     }
--- a/proxy/src/test/java/lemondeal/proxy/Crossing.java
+++ b/proxy/src/test/java/lemondeal/proxy/Crossing.java
@@ -113,6 +113,23 @@
     return sockets(peer.socket.getLocalPort(), peer.socket.getPort()).isEmpty();
   }
 
+  /** Returns when the proxy has closed its side of a connection that this peer had closed before. */
+  static void awaitClosed(Peer peer) {
+    KernelSockets.await(() -> sockets(peer.socket.getPort(), peer.socket.getLocalPort()).isEmpty());
+  }
+
+  /** A client whose connection the proxy has accepted, and that says nothing. */
+  static Peer resting(Site site) throws IOException {
+    Peer client = site.client();
+    KernelSockets.await(() -> KernelSockets.queued(site.proxy.localAddress().getPort()) == 0);
+    return client;
+  }
+
+  /** Returns when the proxy has read all that this peer sent. */
+  static void awaitRead(Peer peer) {
+    KernelSockets.await(() -> KernelSockets.unread(peer.socket.getPort(), peer.socket.getLocalPort()) == 0);
+  }
+
   /** Sockets whose connection to this port has not come up. */
   static long dialling(int port) {
     return sockets(-1, port).stream().filter(SYN_SENT::equals).count();
