Reset a lingering side that has sent more than is worth the time

Cause: Link.dropUnread had a bound of its own beside the 64 KB that a lingering side may send, so that one which floods and reads nothing could be closed in order, which does not get past answers that it does not read. Change: both count together, and who is beyond them is reset.

--- a/proxy/src/main/java/lemondeal/net/Link.java
+++ b/proxy/src/main/java/lemondeal/net/Link.java
@@ -45,6 +45,8 @@
   private boolean sinkShut;
   private boolean otherEnded;
   private Timers.Timer lingering;
+  /** Bytes of a lingering side that are still read and dropped. */
+  private int lingerLeft;
 
   Link(Net net, StreamConnection connection) {
     this.net = net;
@@ -138,6 +140,7 @@
     if (otherEnded && isFlushed()) {
       close();
     } else if (!closed && lingering == null) {
+      lingerLeft = net.limits().lingerBytes();
       lingering = after(net.limits().linger(), this::close);
       net.lingering().enter(this);
       resume();
@@ -165,15 +168,20 @@
     }
   }
 
-  /** Guards the last answer of a side that lingers no longer: a close over unread bytes would reset it. */
+  /**
+   * Guards the last answer of a side that lingers no longer: a close over unread bytes would reset it. Who has sent more
+   * than is worth the time is reset on purpose: a side that is stuck in its sending would hear of no other end.
+   */
   private void dropUnread() {
     ByteBuffer bytes = net.rings().borrow();
     try {
-      int left = net.limits().turnBytes();
-      for (int count = 1; count > 0 && left > 0; left -= count) {
+      for (int count = 1; count > 0 && lingerLeft > 0; lingerLeft -= count) {
         count = source.read(bytes.clear());
       }
-    } catch (IOException e) {
+      if (lingerLeft <= 0) {
+        connection.setOption(Options.CLOSE_ABORT, true);
+      }
+    } catch (IOException | IllegalArgumentException e) {
       // The other side was reset: nothing can reach it any more.
     } finally {
       net.rings().giveBack(bytes);
@@ -286,16 +294,14 @@
    * speed is not worth the time, and has had its answer.
    */
   private final class Lingering implements Owner {
-    private int left = net.limits().lingerBytes();
-
     @Override
     public int room() {
-      return left;
+      return lingerLeft;
     }
 
     @Override
     public void received(ByteBuffer bytes) {
-      left -= bytes.remaining();
+      lingerLeft -= bytes.remaining();
       bytes.position(bytes.limit());
     }
 
