--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -117,8 +117,8 @@
   }
 
   /**
-   * Whether the client still waits, by all that the system has of it already. Guards against sending on for one that has
-   * gone: its end may stand in the socket behind what this turn is about.
+   * Whether the client still waits, by all that the system has of it already. Guards against sending on for one that
+   * has gone: its end may stand in the socket behind what this turn is about.
    */
   boolean stillWaits() {
     if (state == State.WAITING) {
--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -27,6 +27,8 @@
   private Dial dial;
   private Link link;
   private Timers.Timer timeout;
+  /** What the server said before the first line was written; it may be its answer all the same. */
+  private ByteBuffer early = ByteBuffer.allocate(0);
   /** From UP on. */
   private Tunnel tunnel;
   private ServerLine last = ServerLine.parse("");
@@ -119,6 +121,9 @@
     if (state == State.SENDING && link.isFlushed()) {
       state = State.SENT;
       context.figures().attempted();
+      if (early.hasRemaining()) {
+        received(early);
+      }
     }
   }
 
@@ -146,16 +151,16 @@
     switch (answer.kind()) {
       case UP -> cameUp(line, answer);
       case BUSY -> end(Outcome.REFUSED, Reports.read(answer));
-      case MOVE -> end(unlessUnsent(Outcome.CANCELLED), null);
-      case BYE -> servedAtOnce(line, answer);
-      default -> end(unlessUnsent(Outcome.ERROR), Reports.read(answer));
+      case MOVE -> end(Outcome.CANCELLED, null);
+      case BYE -> client.servedAtOnce(this, line, Reports.read(answer));
+      default -> end(Outcome.ERROR, Reports.read(answer));
     }
   }
 
-  /** Guards against an answer that is none to this line: one that came before it, or without a receipt. */
+  /** Guards against an answer that is none: one without a receipt. */
   private void cameUp(String line, ServerLine answer) {
-    if (state != State.SENT || answer.rest().isEmpty() || !client.takes(line)) {
-      end(unlessUnsent(Outcome.ERROR), null);
+    if (answer.rest().isEmpty() || !client.takes(line)) {
+      end(Outcome.ERROR, null);
       return;
     }
     state = State.UP;
@@ -164,23 +169,24 @@
     client.up(this, line);
   }
 
-  private void servedAtOnce(String line, ServerLine answer) {
-    if (state == State.SENT) {
-      client.servedAtOnce(this, line, Reports.read(answer));
-    } else {
-      end(Outcome.NO_CONNECTION, null);
-    }
-  }
-
   // ---- From UP on ----------------------------------------------------------------------------
 
   @Override
   public int room() {
-    return state == State.UP ? Math.max(0, tunnel.roomTowardsClient() - lines.pending()) : context.limits().lineBytes();
+    int line = context.limits().lineBytes();
+    return switch (state) {
+      case UP -> Math.max(0, tunnel.roomTowardsClient() - lines.pending());
+      case SENDING -> line - early.remaining();
+      default -> line;
+    };
   }
 
   @Override
   public void received(ByteBuffer bytes) {
+    if (state == State.SENDING) {
+      early = ByteBuffer.allocate(early.remaining() + bytes.remaining()).put(early).put(bytes).flip();
+      return;
+    }
     try {
       if (state != State.UP) {
         awaitUp(bytes);
@@ -224,7 +230,7 @@
     if (state == State.UP) {
       tunnel.moveNow(Outcome.ERROR);
     } else {
-      end(unlessUnsent(Outcome.ERROR), null);
+      end(Outcome.ERROR, null);
     }
   }
 
