--- a/proxy/src/main/java/lemondeal/net/Link.java
+++ b/proxy/src/main/java/lemondeal/net/Link.java
@@ -45,6 +45,8 @@
   private boolean sinkShut;
   private boolean otherEnded;
   private Timers.Timer lingering;
+  /** Bytes of a lingering side that are still read and dropped. */
+  private int lingerLeft;
 
   Link(Net net, StreamConnection connection) {
     this.net = net;
@@ -61,9 +63,14 @@
     resume();
   }
 
-  /** Reads what has come already, before the selector says so. */
+  /**
+   * Reads what has come already, before the selector says so. May be called while another link is being read, whose
+   * bytes still stand in the shared buffer.
+   */
   public void readNow() {
-    guarded(this::readable);
+    ByteBuffer bytes = net.rings().borrow();
+    guarded(() -> read(bytes));
+    net.rings().giveBack(bytes);
   }
 
   /** Room for bytes to be sent. */
@@ -133,6 +140,7 @@
     if (otherEnded && isFlushed()) {
       close();
     } else if (!closed && lingering == null) {
+      lingerLeft = net.limits().lingerBytes();
       lingering = after(net.limits().linger(), this::close);
       net.lingering().enter(this);
       resume();
@@ -151,6 +159,7 @@
       if (lingering != null) {
         lingering.cancel();
         net.lingering().leave(this);
+        dropUnread();
       }
       IoUtils.safeClose(connection);
       if (out != null) {
@@ -159,6 +168,26 @@
     }
   }
 
+  /**
+   * Guards the last answer of a side that lingers no longer: a close over unread bytes would reset it. Who has sent more
+   * than is worth the time is reset on purpose: a side that is stuck in its sending would hear of no other end.
+   */
+  private void dropUnread() {
+    ByteBuffer bytes = net.rings().borrow();
+    try {
+      for (int count = 1; count > 0 && lingerLeft > 0; lingerLeft -= count) {
+        count = source.read(bytes.clear());
+      }
+      if (lingerLeft <= 0) {
+        connection.setOption(Options.CLOSE_ABORT, true);
+      }
+    } catch (IOException | IllegalArgumentException e) {
+      // The other side was reset: nothing can reach it any more.
+    } finally {
+      net.rings().giveBack(bytes);
+    }
+  }
+
   /** Closes with a reset, as the other side of a connection that was reset itself should see it. */
   public void reset() {
     if (!closed) {
@@ -176,16 +205,19 @@
    * keep all others from the one I/O thread. What is left over is told again in the next turn.
    */
   private void readable() {
+    read(net.scratch(Integer.MAX_VALUE));
+  }
+
+  private void read(ByteBuffer bytes) {
     try {
       int left = net.limits().turnBytes();
-      while (!closed && left > 0) {
+      while (!closed && !otherEnded && left > 0) {
         int room = Math.min(left, owner.room());
         if (room <= 0) {
           source.suspendReads();
           return;
         }
-        ByteBuffer bytes = net.scratch(room);
-        int count = source.read(bytes);
+        int count = source.read(bytes.clear().limit(Math.min(room, bytes.capacity())));
         if (count == 0) {
           return;
         }
@@ -237,10 +269,16 @@
       }
     } catch (IOException e) {
       // Told later: whoever sends must not hear of the failure in the middle of its own work.
-      net.later(() -> guarded(this::broke));
+      net.later(() -> guarded(this::writeFailed));
     }
   }
 
+  /** What came before the other side went is still taken: it may be the last answer. */
+  private void writeFailed() {
+    readable();
+    broke();
+  }
+
   private void broke() {
     if (!closed) {
       Owner told = owner;
@@ -256,16 +294,14 @@
    * speed is not worth the time, and has had its answer.
    */
   private final class Lingering implements Owner {
-    private int left = net.limits().lingerBytes();
-
     @Override
     public int room() {
-      return left;
+      return lingerLeft;
     }
 
     @Override
     public void received(ByteBuffer bytes) {
-      left -= bytes.remaining();
+      lingerLeft -= bytes.remaining();
       bytes.position(bytes.limit());
     }
 
