Serve what comes after a reload by the new settings, and let the rest end by its own

Need: at SIGHUP only discovery's address moved; all other changes waited for the next start, so that a proxy handed from one customer's settings to another's went on with the first one's classes, limits, costs and names.

Change: Generation has what goes by one set of settings (module, decisions, delays, probes, source of lists, host group, class names, times of requests) and carries out its module's actions; Generations owns the newest and those before whose requests are still under way. Settings that differ begin a new one, which has all requests from then on. One before keeps its requests, wake-ups and probes; its watch ends, it hears the lists of the newest one's source, and it is dropped within a second of its last request. KnownServers translates zones and models by name between the lists of names; the list held goes on unless the new configuration brings another. Figures of a class that both name go on; others vanish. A stop takes the time of the settings in force then. Name, addresses, seed, sockets and memory stay and are named in the log line.

--- a/proxy/src/main/java/lemondeal/Reload.java
+++ b/proxy/src/main/java/lemondeal/Reload.java
@@ -1,5 +1,6 @@
 package lemondeal;
 
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ThreadPoolExecutor;
@@ -50,9 +51,10 @@
   private void read() {
     try {
       Config fresh = config.reread(environment);
+      List<String> kept = config.kept(environment);
       taker.accept(fresh);
       log.info("reload", "lemondeal: configuration read anew, discovery at " + fresh.discovery()
-          + (fresh.runsAs(config) ? "" : "; its other changes count from the next start"));
+          + (kept.isEmpty() ? "" : "; " + String.join(", ", kept) + " count from the next start"));
       config = fresh;
     } catch (RuntimeException e) {
       log.warn("reload-refused", "lemondeal: the configuration stays as it was: " + e.getMessage());
--- a/proxy/src/main/java/lemondeal/config/Config.java
+++ b/proxy/src/main/java/lemondeal/config/Config.java
@@ -20,14 +20,18 @@
  * @param discoveryInFile where the file itself says that discovery is: a change there counts at a reload
  * @param known the list of servers in discovery's form, as this proxy last had it
  * @param loadLines what a server's LOAD line carries, by what the settings say that servers tell
+ * @param machine what this process may use, as at its start
  */
 public record Config(String name, InetSocketAddress listen, boolean inherited, InetSocketAddress admin,
     InetSocketAddress discovery, String discoveryInFile, long seed, Map<String, Object> known, Settings settings,
-    Names names, LoadLines loadLines, Limits limits) {
+    Names names, LoadLines loadLines, Machine machine, Limits limits) {
 
   /** Names that stand on sockets where the module has indices. */
   public record Names(List<String> classes, List<String> zones, List<String> models) {}
 
+  /** What the machine allows: sockets and rings are made for it at the start, and can't be changed under way. */
+  public record Machine(int sockets, int memoryMb) {}
+
   /**
    * The connection's load, in microseconds of work a second, or the milliseconds that a message takes at its server:
    * both come as LOAD, and where servers tell both, only the figure itself says which it is.
@@ -60,10 +64,28 @@
     return read(environment, this, limits.ringsMb());
   }
 
-  /** Whether nothing but discovery's address differs, of what a running proxy could take over. */
-  public boolean runsAs(Config other) {
-    return name.equals(other.name) && listen.equals(other.listen) && Objects.equals(admin, other.admin)
-        && settings.equals(other.settings) && limits.equals(other.limits);
+  /** Whether requests are served by the same terms under both: whatever may change while a proxy runs. */
+  public boolean servesAs(Config other) {
+    return settings.equals(other.settings) && names.equals(other.names) && loadLines == other.loadLines
+        && limits.equals(other.limits);
+  }
+
+  /** The names of those values that the file now gives differently, and that a running proxy keeps. */
+  public List<String> kept(Map<String, String> environment) {
+    Config fresh = read(environment, null, limits.ringsMb());
+    List<String> kept = new ArrayList<>();
+    keep(kept, "name", name, fresh.name);
+    keep(kept, "listen", listen, fresh.listen);
+    keep(kept, "admin_addr", admin, fresh.admin);
+    keep(kept, "seed", seed, fresh.seed);
+    keep(kept, "limits", machine, fresh.machine);
+    return kept;
+  }
+
+  private static void keep(List<String> kept, String key, Object here, Object there) {
+    if (!Objects.equals(here, there)) {
+      kept.add(key);
+    }
   }
 
   private static Config read(Map<String, String> environment, Config before, int ringsMb) {
@@ -71,13 +93,17 @@
     if (file == null || file.isEmpty()) {
       throw new ConfigException("GW_CONFIG names no file");
     }
-    Part root = new Part("config", object(file));
+    return of(new Part("config", object(file)), environment, before, ringsMb);
+  }
+
+  private static Config of(Part root, Map<String, String> environment, Config before, int ringsMb) {
     Part settings = root.part("settings");
     Part permissions = settings.part("permissions");
-    Part limits = root.part("limits");
     Part family = settings.part("familyInfo");
     String discoveryInFile = root.text("discovery", "");
     boolean inherited = inherited(environment.getOrDefault("GW_ACCEPT_FD", ""));
+    Machine inFile = machine(root.part("limits"));
+    Machine machine = before == null ? inFile : before.machine;
     return new Config(
         environment.getOrDefault("GW_NAME", root.text("name", "proxy")),
         address("listen", environment.getOrDefault("GW_LISTEN", root.text("listen", ""))),
@@ -86,12 +112,17 @@
         discovery(environment, discoveryInFile, before), discoveryInFile,
         seed(root.text("seed", "0")), root.part("known").values(), SettingsReader.read(settings.values()),
         new Names(names(settings.parts("profiles")), texts(settings.list("azs")), texts(settings.list("flavors"))),
-        LoadLines.of(family.flag("tellsDelay"), family.flag("tellsLoad")),
-        Limits.of((int) limits.whole("sockets", DEFAULT_SOCKETS), (int) limits.whole("memory_mb", DEFAULT_MEMORY_MB),
+        LoadLines.of(family.flag("tellsDelay"), family.flag("tellsLoad")), machine,
+        Limits.of(machine.sockets, machine.memoryMb,
             permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE),
             longestDeadline(settings.parts("profiles")), inherited, ringsMb));
   }
 
+  private static Machine machine(Part limits) {
+    return new Machine((int) limits.whole("sockets", DEFAULT_SOCKETS),
+        (int) limits.whole("memory_mb", DEFAULT_MEMORY_MB));
+  }
+
   /**
    * Guards against the environment, which can't change while the proxy runs, hiding the address that the file
    * names anew: what the file says differently than before goes first.
--- a/proxy/src/main/java/lemondeal/figures/Figures.java
+++ b/proxy/src/main/java/lemondeal/figures/Figures.java
@@ -1,5 +1,6 @@
 package lemondeal.figures;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -10,46 +11,68 @@
  */
 public final class Figures {
   private final List<String> classes;
-  private final long[] served;
-  private final long[] refused;
-  private final long[] failed;
-  private long attempts;
+  private final List<Answers> answers = new ArrayList<>();
+  private final Count attempts;
+
+  private static final class Count {
+    private long value;
+  }
+
+  /** How requests of one class ended. */
+  private static final class Answers {
+    private long served;
+    private long refused;
+    private long failed;
+  }
 
   /** Counts for these classes, in the settings' order. */
   public Figures(List<String> classes) {
+    this(classes, List.of(), List.of(), new Count());
+  }
+
+  private Figures(List<String> classes, List<String> before, List<Answers> counted, Count attempts) {
     this.classes = classes;
-    served = new long[classes.size()];
-    refused = new long[classes.size()];
-    failed = new long[classes.size()];
+    this.attempts = attempts;
+    for (String name : classes) {
+      answers.add(before.contains(name) ? counted.get(before.indexOf(name)) : new Answers());
+    }
+  }
+
+  /**
+   * The same process's figures under other settings. A class that both name is counted on, whichever settings its
+   * requests came under; one that only these here name is told no more.
+   */
+  public Figures next(List<String> classes) {
+    return new Figures(classes, this.classes, answers, attempts);
   }
 
   /** A server's UP was passed on. */
   public void served(int requestClass) {
-    served[requestClass]++;
+    answers.get(requestClass).served++;
   }
 
   /** A client was answered BUSY. */
   public void refused(int requestClass) {
-    refused[requestClass]++;
+    answers.get(requestClass).refused++;
   }
 
   /** A client was answered anything else. */
   public void failed(int requestClass) {
-    failed[requestClass]++;
+    answers.get(requestClass).failed++;
   }
 
   /** The last byte of a first line was written to a server. */
   public void attempted() {
-    attempts++;
+    attempts.value++;
   }
 
   /** Adds every count under its name, those of classes that nobody asked for too. */
   public void addTo(Map<String, Long> figures) {
-    for (int c = 0; c < served.length; c++) {
-      figures.put("served." + classes.get(c), served[c]);
-      figures.put("refused." + classes.get(c), refused[c]);
-      figures.put("failed." + classes.get(c), failed[c]);
+    for (int c = 0; c < classes.size(); c++) {
+      figures.put("served." + classes.get(c), answers.get(c).served);
+      figures.put("refused." + classes.get(c), answers.get(c).refused);
+      figures.put("failed." + classes.get(c), answers.get(c).failed);
     }
-    figures.put("attempts", attempts);
+    figures.put("attempts", attempts.value);
   }
 }
--- a/proxy/src/main/java/lemondeal/proxy/Context.java
+++ b/proxy/src/main/java/lemondeal/proxy/Context.java
@@ -10,10 +10,20 @@
 import lemondeal.net.Timers;
 import lemondeal.resume.Continuity;
 
-/** What every connection of this proxy works with. */
-record Context(Config config, Net net, Timers timers, HostGroup group, Decisions decisions, DelayMeter delays,
+/** What a connection works with: the settings under which it came, and what goes by them. */
+record Context(Generations generations, Config config, Net net, Timers timers, Decisions decisions, DelayMeter delays,
     Figures figures, FinalAnswer answers, Function<OpenLine, Continuity> continuities) {
 
+  /** What a request works with that begins now. */
+  Context newest() {
+    return generations.newest().context();
+  }
+
+  /** Where servers are now. */
+  HostGroup group() {
+    return generations.group();
+  }
+
   /** How a new client's connection hangs together with others. */
   Continuity continuity(OpenLine open) {
     return continuities.apply(open);
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/proxy/Generations.java
@@ -0,0 +1,126 @@
+package lemondeal.proxy;
+
+import lemondeal.Balancer;
+import lemondeal.Balancer.ServerList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Supplier;
+import lemondeal.codec.ProtocolException;
+import lemondeal.config.Config;
+import lemondeal.discovery.HostGroup;
+import lemondeal.figures.Figures;
+import lemondeal.net.Timers;
+
+/**
+ * Which settings are in force, and which others still hold for requests that came under them. Settings read anew begin
+ * a generation of their own; what comes from then on is served by it alone. On the I/O thread.
+ */
+final class Generations {
+  /** How often it is looked whether an older generation has ended: what it keeps is little. */
+  private static final long LOOK_EVERY = 1_000_000;
+
+  private final Generation.Means means;
+  private final Runnable told;
+  private final long seed;
+  private final Set<Generation> older = new LinkedHashSet<>();
+  private Generation newest;
+  private Timers.Timer look;
+  /** Null where settings count from the next start. */
+  private Supplier<Balancer> modules;
+
+  /** {@code told} is run whenever discovery has told a list. */
+  Generations(Generation.Means means, Config config, Balancer module, Runnable told) {
+    this.means = means;
+    this.told = told;
+    seed = config.seed();
+    newest = new Generation(this, means, config, module, new Figures(config.names().classes()));
+  }
+
+  void start() throws ProtocolException {
+    newest.start(seed);
+  }
+
+  /** From now on each change of the settings is taken over, with a module of its own. */
+  void renewBy(Supplier<Balancer> modules) {
+    this.modules = modules;
+  }
+
+  Generation newest() {
+    return newest;
+  }
+
+  boolean isNewest(Generation generation) {
+    return generation == newest;
+  }
+
+  /** Where servers are: by their ids, which are the same under all settings. */
+  HostGroup group() {
+    return newest.group();
+  }
+
+  /** Discovery is elsewhere; the settings stay as they are. */
+  void moveDiscovery(Config fresh) {
+    newest.reconfigure(fresh);
+  }
+
+  /** Takes a configuration over that was read anew and checked. What can't be served is one line in the log. */
+  void reconfigure(Config fresh) {
+    if (fresh.servesAs(newest.config())) {
+      moveDiscovery(fresh);
+    } else if (modules == null) {
+      means.log().info("settings-kept", "lemondeal: the new settings count from the next start");
+      moveDiscovery(fresh);
+    } else {
+      renew(fresh);
+    }
+  }
+
+  private void renew(Config fresh) {
+    Generation before = newest;
+    Set<ClientLink> clients = underWay();
+    older.forEach(generation -> clients.removeAll(generation.left(underWay())));
+    newest = new Generation(this, means, fresh, modules.get(), before.figures().next(fresh.names().classes()));
+    try {
+      newest.startAfter(before, seed);
+    } catch (ProtocolException e) {
+      newest = before;
+      means.log().warn("reload-refused", "lemondeal: the configuration stays as it was: known: " + e.getMessage());
+      return;
+    }
+    before.supersede(clients);
+    older.add(before);
+    dropEnded();
+    means.log().info("settings", "lemondeal: new settings serve what comes from now on; " + clients.size()
+        + " under way end by those that they came in with");
+  }
+
+  /** What a source tells goes to all; one whose settings are no longer in force is not heard any more. */
+  void listed(Generation from, ServerList list) {
+    if (from != newest) {
+      return;
+    }
+    newest.hear(list);
+    for (Generation generation : List.copyOf(older)) {
+      generation.overhear(list, newest);
+    }
+    told.run();
+  }
+
+  private Set<ClientLink> underWay() {
+    return new HashSet<>(means.requests().all());
+  }
+
+  private void dropEnded() {
+    Set<ClientLink> underWay = underWay();
+    for (Generation generation : List.copyOf(older)) {
+      if (generation.left(underWay).isEmpty()) {
+        older.remove(generation);
+        generation.drop();
+      }
+    }
+    Timers.cancel(look);
+    look = older.isEmpty() ? null : means.wheel().after(LOOK_EVERY, this::dropEnded);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/lemondeal/proxy/KnownServers.java
@@ -0,0 +1,76 @@
+package lemondeal.proxy;
+
+import lemondeal.Balancer.ListKind;
+import lemondeal.Balancer.ServerEntry;
+import lemondeal.Balancer.ServerList;
+import lemondeal.Balancer.ServerState;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import lemondeal.config.Config.Names;
+
+/**
+ * The servers as one module was told them. Zones and models are places in the lists of names of its settings; other
+ * settings have other lists, so what goes from one module to another is translated by name.
+ */
+final class KnownServers {
+  private final Names names;
+  private final Map<String, ServerEntry> entries = new LinkedHashMap<>();
+
+  KnownServers(Names names) {
+    this.names = names;
+  }
+
+  Set<String> names() {
+    return entries.keySet();
+  }
+
+  void take(ServerList list) {
+    if (list.kind() == ListKind.FULL || list.kind() == ListKind.SAVED) {
+      entries.clear();
+    }
+    for (ServerEntry entry : list.entries()) {
+      if (entry.state() == ServerState.GONE) {
+        entries.remove(entry.server());
+      } else {
+        entries.put(entry.server(), entry);
+      }
+    }
+  }
+
+  /**
+   * All that is held under other settings, in the terms of these. A name that those lacked is not known there: the new
+   * configuration's own list goes first.
+   */
+  ServerList takenOver(KnownServers before, ServerList known) {
+    take(known);
+    ServerList held = new ServerList(known.version(), ListKind.SAVED, List.copyOf(before.entries.values()));
+    return translated(held, before);
+  }
+
+  /** A list in the terms of other settings, taken in and in the terms of these. */
+  ServerList translated(ServerList list, KnownServers from) {
+    List<ServerEntry> translated = new ArrayList<>();
+    for (ServerEntry entry : list.entries()) {
+      translated.add(translated(entry, from.names));
+    }
+    ServerList own = new ServerList(list.version(), list.kind(), translated, list.fleet());
+    take(own);
+    return own;
+  }
+
+  private ServerEntry translated(ServerEntry e, Names from) {
+    ServerEntry held = entries.get(e.server());
+    int zone = place(e.zone(), from.zones(), names.zones(), held == null ? -1 : held.zone());
+    int model = place(e.model(), from.models(), names.models(), held == null ? -1 : held.model());
+    return new ServerEntry(e.server(), zone, e.cell(), model, e.startedAt(), e.state(), e.weight());
+  }
+
+  /** The same name's place here; where either list lacks it, what this server is held to be, or after them all. */
+  private static int place(int place, List<String> from, List<String> to, int held) {
+    int here = place >= 0 && place < from.size() ? to.indexOf(from.get(place)) : -1;
+    return here >= 0 ? here : held >= 0 ? held : to.size();
+  }
+}
--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -1,38 +1,23 @@
 package lemondeal.proxy;
 
 import lemondeal.Balancer;
-import lemondeal.Balancer.Action;
-import lemondeal.Balancer.CancelAttempt;
-import lemondeal.Balancer.CloseIdle;
-import lemondeal.Balancer.Fail;
-import lemondeal.Balancer.FetchList;
-import lemondeal.Balancer.Log;
-import lemondeal.Balancer.Move;
-import lemondeal.Balancer.Outcome;
-import lemondeal.Balancer.Probe;
-import lemondeal.Balancer.Refuse;
-import lemondeal.Balancer.Send;
-import lemondeal.Balancer.ServerList;
 import lemondeal.Balancer.Standing;
-import lemondeal.Balancer.Start;
-import lemondeal.Balancer.Subscribe;
 import lemondeal.Balancer.Wake;
-import lemondeal.Balancer.WakeAfter;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.channels.ServerSocketChannel;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import lemondeal.admin.Admin;
 import lemondeal.config.Config;
 import lemondeal.config.Limits;
-import lemondeal.discovery.HostGroup;
 import lemondeal.discovery.ListSource;
-import lemondeal.figures.Figures;
 import lemondeal.log.EventLog;
 import lemondeal.log.PlainLog;
 import lemondeal.net.EvictingSet;
@@ -48,21 +33,13 @@
 /** One real proxy: puts the parts together and carries out what the module decides. */
 public final class Proxy implements Admin.Subject, AutoCloseable {
   private final Config config;
-  private final Balancer module;
-  private final Limits limits;
   private final Net net;
   private final TimerWheel wheel;
-  private final HostGroup group;
-  private final Decisions decisions;
-  private final ListSource discovery;
-  private final Context context;
+  private final Generations generations;
   private final Requests requests;
   private final AdmissionControl admission;
   private final EvictingSet<PendingLink> pending;
   private final EventLog log;
-  private final Map<String, Prober> probers = new HashMap<>();
-  private final Figures figures;
-  private final Stop stop;
   private final Resumption resumption;
   private Listener clients;
   private Listener secondAddress;
@@ -93,24 +70,17 @@
       throws IOException {
     this.resumption = resumption;
     this.config = config;
-    this.module = module;
     this.log = log;
-    limits = config.limits();
+    Limits limits = config.limits();
     Faults faults = new Faults(log);
     net = new Net(limits, faults);
     wheel = new TimerWheel(clock::now, limits.tick(), limits.wheelSlots(), faults, this::scheduleAdvance);
     net.use(wheel);
-    group = new HostGroup(config.names());
-    decisions = new Decisions(module, clock::now, this::act);
-    discovery = sources.make(net, wheel, limits, config, group, this::listed);
-    DelayMeter delays = new DelayMeter(config.settings(), limits, decisions::tell);
-    figures = new Figures(config.names().classes());
-    context = new Context(config, net, wheel, group, decisions, delays, figures, new FinalAnswer(figures),
-        resumption == null ? Continuity.Plain::new : resumption::of);
     requests = new Requests(limits.clients());
     admission = new AdmissionControl(requests);
     pending = new EvictingSet<>(() -> limits.pending(requests.left()), PendingLink::makeRoom);
-    stop = new Stop(limits, wheel, admission, requests, () -> !pending.isEmpty());
+    generations = new Generations(new Generation.Means(net, wheel, requests, sources, log, config.name(),
+        resumption == null ? Continuity.Plain::new : resumption::of), config, module, this::listed);
   }
 
   /** Starts on the I/O thread; returns when the addresses are listened on, or throws what went wrong. */
@@ -121,14 +91,14 @@
   /** Starts with this listening socket for clients. */
   void start(ServerSocketChannel socket) throws IOException {
     net.run(() -> {
+      Limits limits = config.limits();
       clients = net.listen(socket, limits.accepted(), this::accepted);
       if (config.admin() != null) {
         Admin admin = new Admin(limits, this);
         secondAddress = net.listen(Listener.bind(config.admin()), limits.adminCallers() + 1, admin::accepted);
         secondAddress.resume();
       }
-      decisions.tell(new Start(config.seed(), config.settings()));
-      discovery.saved().forEach(decisions::tell);
+      generations.start();
       if (!config.inherited()) {
         clients.resume();
       }
@@ -146,9 +116,8 @@
     return secondAddress == null ? null : secondAddress.address();
   }
 
-  private void listed(ServerList list) {
-    decisions.tell(list);
-    if (module.standing(wheel.now()).listed()) {
+  private void listed() {
+    if (generations.newest().standing().listed()) {
       serve();
     }
   }
@@ -159,7 +128,7 @@
    * process may be accepting from.
    */
   private void serve() {
-    if (!accepting && !stopping && module.standing(wheel.now()).known() > 0) {
+    if (!accepting && !stopping && generations.newest().standing().known() > 0) {
       accepting = true;
       clients.resume();
       log.info("ready", "lemondeal: ready");
@@ -167,7 +136,7 @@
   }
 
   private void accepted(Link link) {
-    new PendingLink(context, admission, pending, link).start();
+    new PendingLink(generations.newest().context(), admission, pending, link).start();
   }
 
   /** Runs tasks on the I/O thread, for what comes from threads of others; from any thread. */
@@ -182,7 +151,7 @@
 
   /** Wakes the module, for what stands between it and this proxy; on the I/O thread alone. */
   public void wake(long token) {
-    decisions.tell(new Wake(token));
+    generations.newest().tell(new Wake(token));
   }
 
   /** Has these figures told on the second address, too. */
@@ -190,22 +159,44 @@
     net.later(() -> more = figuresOfMore);
   }
 
-  /** Takes over a configuration read anew and checked; may be called on any thread, also during a stop. */
+  /**
+   * From now on settings read anew are taken over, each with a module made by this; without it they count from the next
+   * start. May be called on any thread.
+   */
+  public void renewBy(Supplier<Balancer> modules) {
+    net.later(() -> generations.renewBy(modules));
+  }
+
+  /**
+   * Takes over a configuration read anew and checked; may be called on any thread, also during a stop, when nothing new
+   * is served any more and discovery alone moves.
+   */
   public void reconfigure(Config fresh) {
-    net.later(() -> discovery.reconfigure(fresh));
+    net.later(() -> {
+      if (stopping) {
+        generations.moveDiscovery(fresh);
+      } else {
+        generations.reconfigure(fresh);
+      }
+    });
   }
 
   /** Stops politely; returns when all is done or the time is up. */
   public void stop() throws InterruptedException {
+    BlockingQueue<Stop> begun = new ArrayBlockingQueue<>(1);
     net.later(() -> {
       stopping = true;
+      // How long it may take is for the settings to say that are in force by now.
+      Limits limits = generations.newest().config().limits();
+      Stop stop = new Stop(limits, wheel, admission, requests, () -> !pending.isEmpty());
+      begun.add(stop);
       if (config.inherited()) {
         stop.handOver(clients);
       } else {
         stop.begin(clients);
       }
     });
-    stop.await();
+    begun.take().await();
   }
 
   /** Ends the I/O thread at once. */
@@ -224,8 +215,8 @@
   @Override
   public Map<String, Long> figures() {
     Map<String, Long> all = new LinkedHashMap<>();
-    figures.addTo(all);
-    Standing standing = module.standing(wheel.now());
+    generations.newest().figures().addTo(all);
+    Standing standing = generations.newest().standing();
     all.put("in_flight", (long) requests.size());
     all.put("servers_known", (long) standing.known());
     all.put("servers_excluded", (long) standing.avoided());
@@ -253,45 +244,4 @@
     wheel.advance();
     scheduleAdvance();
   }
-
-  // ---- Actions -------------------------------------------------------------------------------
-
-  /** A chain of tests rather than a switch: pattern switches are only a preview in Java 17. */
-  private void act(Action action) {
-    if (action instanceof Send a) {
-      with(a.id(), client -> client.execute(a.server(), a.timeout()));
-    } else if (action instanceof WakeAfter a) {
-      wheel.after(a.delay(), () -> decisions.tell(new Wake(a.token())));
-    } else if (action instanceof Move a) {
-      with(a.id(), ClientLink::move);
-    } else if (action instanceof Refuse a) {
-      with(a.id(), client -> client.throttle(a.retryAfter()));
-    } else if (action instanceof Fail a) {
-      with(a.id(), ClientLink::fail);
-    } else if (action instanceof CancelAttempt a) {
-      with(a.id(), client -> client.cancel(a.attempt()));
-    } else if (action instanceof Probe a) {
-      probe(a.server());
-    } else if (action instanceof CloseIdle a && probers.get(a.server()) != null) {
-      probers.get(a.server()).end(Outcome.CANCELLED);
-    } else if (action instanceof Subscribe a) {
-      discovery.watch(a.on());
-    } else if (action instanceof FetchList) {
-      discovery.fetch();
-    } else if (action instanceof Log a) {
-      log.info("module", config.name() + " " + a.text());
-    }
-  }
-
-  /** The module may name a request that has gone in the meantime; its slot may have a new holder. */
-  private void with(String id, Consumer<ClientLink> act) {
-    ClientLink client = requests.find(id);
-    if (client != null) {
-      client.link().guarded(() -> act.accept(client));
-    }
-  }
-
-  private void probe(String server) {
-    probers.computeIfAbsent(server, s -> new Prober(context, s, () -> probers.remove(s))).probe();
-  }
 }
