Tell settings that can't be served in one line with file, place and what is allowed

Need: no class at all, two of one name, times below 0 or past any timer, overloadFor or askEvery 0, shares of tenants that can't be, words that nobody knows (membershipMode fell back to pushed lists) and counts beyond all machines started a proxy that served by nonsense, or were told without the file and without what is allowed.

Change: SettingsCheck looks at the settings and at limits when a configuration is read, at a start and at SIGHUP alike; every message begins with the file. Part names the number of an entry in a list. The defaults of dialTimeout (150 ms) and keepalive (5 s) were one site's figures: what a file leaves out of these is bounded by its longest deadline.

An absent section reads as before, too, but for profiles and, where lists are asked for, rules.askEvery.

At a start the same line and exit code 2, at a reload the same line and the settings before go on: ReloadTest .settingsThatCannotBeServedEndAStartAndRefuseAReload.

--- a/proxy/src/main/java/lemondeal/config/Config.java
+++ b/proxy/src/main/java/lemondeal/config/Config.java
@@ -46,8 +46,6 @@
 
   private static final int DEFAULT_SOCKETS = 1024;
   private static final int DEFAULT_MEMORY_MB = 192;
-  private static final long DEFAULT_DIAL = 150_000;
-  private static final long DEFAULT_KEEPALIVE = 5_000_000;
 
   /** Reads {@code GW_CONFIG}; {@code GW_NAME} and the addresses that the environment gives go before it. */
   public static Config read(Map<String, String> environment) {
@@ -93,15 +91,22 @@
     if (file == null || file.isEmpty()) {
       throw new ConfigException("GW_CONFIG names no file");
     }
-    return of(new Part("config", object(file)), environment, before, ringsMb);
+    try {
+      return of(new Part("config", object(file)), environment, before, ringsMb);
+    } catch (ConfigException e) {
+      throw new ConfigException(file + ": " + e.getMessage().replace('\n', ' '));
+    }
   }
 
   private static Config of(Part root, Map<String, String> environment, Config before, int ringsMb) {
     Part settings = root.part("settings");
+    SettingsCheck.check(settings);
     Part permissions = settings.part("permissions");
     Part family = settings.part("familyInfo");
     String discoveryInFile = root.text("discovery", "");
     boolean inherited = inherited(environment.getOrDefault("GW_ACCEPT_FD", ""));
+    // Whatever the settings leave out takes no longer than the longest request.
+    long longest = longestDeadline(settings.parts("profiles"));
     Machine inFile = machine(root.part("limits"));
     Machine machine = before == null ? inFile : before.machine;
     return new Config(
@@ -113,12 +118,12 @@
         seed(root.text("seed", "0")), root.part("known").values(), SettingsReader.read(settings.values()),
         new Names(names(settings.parts("profiles")), texts(settings.list("azs")), texts(settings.list("flavors"))),
         LoadLines.of(family.flag("tellsDelay"), family.flag("tellsLoad")), machine,
-        Limits.of(machine.sockets, machine.memoryMb,
-            permissions.whole("dialTimeout", DEFAULT_DIAL), permissions.whole("keepalive", DEFAULT_KEEPALIVE),
-            longestDeadline(settings.parts("profiles")), inherited, ringsMb));
+        Limits.of(machine.sockets, machine.memoryMb, permissions.whole("dialTimeout", longest),
+            permissions.whole("keepalive", longest), longest, inherited, ringsMb));
   }
 
   private static Machine machine(Part limits) {
+    SettingsCheck.checkMachine(limits);
     return new Machine((int) limits.whole("sockets", DEFAULT_SOCKETS),
         (int) limits.whole("memory_mb", DEFAULT_MEMORY_MB));
   }
@@ -150,9 +155,9 @@
     try {
       return Json.object(Files.readString(Path.of(file)));
     } catch (IOException e) {
-      throw new ConfigException("cannot read " + file + ": " + e);
+      throw new ConfigException("cannot be read: " + e);
     } catch (ProtocolException e) {
-      throw new ConfigException(file + ": " + e.getMessage());
+      throw new ConfigException(e.getMessage());
     }
   }
 
--- a/proxy/src/main/java/lemondeal/config/Part.java
+++ b/proxy/src/main/java/lemondeal/config/Part.java
@@ -22,7 +22,7 @@
     List<Part> parts = new ArrayList<>();
     for (Object value : list(key)) {
       check(value instanceof Map, key, "a list of objects");
-      parts.add(new Part(name + "." + key, (Map<String, Object>) value));
+      parts.add(new Part(name + "." + key + "[" + parts.size() + "]", (Map<String, Object>) value));
     }
     return parts;
   }
@@ -60,9 +60,16 @@
     return value == null ? absent : (String) value;
   }
 
+  /** What is wrong at a key: its place, what was found and what is allowed there. */
+  ConfigException fault(String key, String found, String allowed) {
+    return new ConfigException(name + "." + key + ": found " + found + "; allowed: " + allowed);
+  }
+
   private void check(boolean holds, String key, String what) {
     if (!holds) {
-      throw new ConfigException(name + ": " + key + " should be " + what);
+      Object value = values.get(key);
+      String found = value instanceof Map ? "an object" : value instanceof List ? "a list" : String.valueOf(value);
+      throw new ConfigException(name + "." + key + " should be " + what + ", found " + found);
     }
   }
 }
--- a/proxy/src/test/java/lemondeal/ReloadTest.java
+++ b/proxy/src/test/java/lemondeal/ReloadTest.java
@@ -1,7 +1,9 @@
 package lemondeal;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.ByteArrayOutputStream;
@@ -14,6 +16,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import lemondeal.config.Config;
+import lemondeal.config.ConfigException;
 import lemondeal.log.PlainLog;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -83,6 +86,46 @@
     }
   }
 
+  /** What can't be served is the same line at a start, with which the program ends, and at a reload, which it outlives. */
+  @Test
+  void settingsThatCannotBeServedEndAStartAndRefuseAReload() throws Exception {
+    Map<String, String> environment = write(OLD);
+    Path file = Path.of(environment.get("GW_CONFIG"));
+    try (Reload reload = reload(environment)) {
+      String good = Files.readString(file);
+      for (String bad : new String[] {good.replace("\"overloadFor\": 2000000", "\"overloadFor\": 0"),
+          good.replace("idempotent", "sometimes"), good.replace("\"profiles\"", "\"classes\"")}) {
+        assertNotEquals(good, bad);
+        Files.writeString(file, bad);
+        assertEquals(2, Serve.run(environment, null));
+        String said = assertThrows(ConfigException.class, () -> Config.read(environment)).getMessage();
+        reload.request();
+        assertEquals("lemondeal: the configuration stays as it was: " + said, logged.poll(10, TimeUnit.SECONDS));
+      }
+      assertTrue(taken.isEmpty());
+      write(8501);
+      reload.request();
+      assertEquals(8501, nextPort());
+    }
+  }
+
+  /** What only the next start can change is named, and kept until then. */
+  @Test
+  void whatOnlyAStartCanChangeIsNamedInTheLog() throws Exception {
+    Map<String, String> environment = write(OLD);
+    Path file = Path.of(environment.get("GW_CONFIG"));
+    try (Reload reload = reload(environment)) {
+      Files.writeString(file, Files.readString(file).replace("\"sockets\": 1024", "\"sockets\": 512")
+          .replace("8c1f30d27a5be964", "1").replace("\"aim\": 500000", "\"aim\": 400000"));
+      reload.request();
+      String line = logged.poll(10, TimeUnit.SECONDS);
+      assertTrue(line.endsWith("; seed, limits count from the next start"), line);
+      Config fresh = taken.poll(10, TimeUnit.SECONDS);
+      assertEquals(1024, fresh.machine().sockets());
+      assertEquals(400_000, fresh.settings().classes().get(0).aim(), "the settings are taken over");
+    }
+  }
+
   /** A JVM that has no handler ends on SIGHUP: with this test's own process, if the handler is taken out. */
   @Test
   void hangupIsHeardEachTime() throws Exception {
