Keep the watch of before a reload until the new one tells, and ask a moved discovery at once

Cause: a reload with new settings ended the old watch (Generation.supersede), and where lists are asked for the new module asks only within its spread, up to 4 s later, and again after a failed call. Drains in between came to nobody, and count as told 6 s later whatever failed. Where discovery moved too, the new address was not asked at once as it is without new settings (Discovery.moveTo).

Change: with the same discovery the source of before goes on, for all modules, until the new one's has told a list; with another one the new source asks at once. Addresses go from the source that was told to the others' host groups.

--- a/proxy/src/main/java/lemondeal/proxy/Generation.java
+++ b/proxy/src/main/java/lemondeal/proxy/Generation.java
@@ -136,6 +136,10 @@
     }
     servers.take(list);
     decisions.tell(list);
+    if (config.settings().mustAskForList() && !config.discovery().equals(before.config.discovery())) {
+      // What discovery has there counts soon, and no watch of before goes on in the meantime.
+      source.watch(true);
+    }
   }
 
   private Map<String, InetSocketAddress> addresses() {
@@ -148,9 +152,13 @@
     return addresses;
   }
 
-  /** Newer settings are in force: only these clients are left here, and discovery is asked no more. */
+  /** Newer settings are in force: only these clients are left here. */
   void supersede(Set<ClientLink> clients) {
     left.addAll(clients);
+  }
+
+  /** Discovery is asked no more under these settings. */
+  void stopAsking() {
     source.watch(false);
   }
 
@@ -179,13 +187,17 @@
       return;
     }
     servers.take(list);
-    decisions.tell(list);
+    if (!dropped) {
+      decisions.tell(list);
+    }
   }
 
-  /** What the source of newer settings tells, in their terms: drains and ends are for all to know. */
-  void overhear(ServerList list, Generation newest) {
+  /** What the source of other settings tells, in their terms: drains and ends are for all to know. */
+  void overhear(ServerList list, Generation other) {
     if (list.kind() == ListKind.FULL || list.kind() == ListKind.CHANGES) {
-      decisions.tell(servers.translated(list, newest.servers));
+      ServerList own = servers.translated(list, other.servers);
+      group.tell(group.generation(), own.kind(), own.entries(), other.addresses(), 0);
+      decisions.tell(own);
     }
   }
 
--- a/proxy/src/main/java/lemondeal/proxy/Generations.java
+++ b/proxy/src/main/java/lemondeal/proxy/Generations.java
@@ -1,6 +1,7 @@
 package lemondeal.proxy;
 
 import lemondeal.Balancer;
+import lemondeal.Balancer.ListKind;
 import lemondeal.Balancer.ServerList;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -26,6 +27,8 @@
   private final long seed;
   private final Set<Generation> older = new LinkedHashSet<>();
   private Generation newest;
+  /** The one before, while its watch goes on because the newest one's has told nothing yet; null otherwise. */
+  private Generation watching;
   private Timers.Timer look;
   /** Null where settings count from the next start. */
   private Supplier<Balancer> modules;
@@ -91,20 +94,45 @@
     }
     before.supersede(clients);
     older.add(before);
+    takeOverWatch(before);
     dropEnded();
     means.log().info("settings", "lemondeal: new settings serve what comes from now on; " + clients.size()
         + " under way end by those that they came in with");
   }
 
-  /** What a source tells goes to all; one whose settings are no longer in force is not heard any more. */
+  /**
+   * Discovery is not asked by two sources for longer than it takes the new one to be told, nor at an address that is no
+   * longer the one. Guards against drains that nobody hears: proxies that are all told to reload ask one after another.
+   */
+  private void takeOverWatch(Generation before) {
+    stopWatching();
+    if (before.config().discovery().equals(newest.config().discovery())) {
+      watching = before;
+    } else {
+      before.stopAsking();
+    }
+  }
+
+  private void stopWatching() {
+    if (watching != null) {
+      watching.stopAsking();
+      watching = null;
+    }
+  }
+
+  /** What a source tells goes to all; one that is no longer asked is not heard any more. */
   void listed(Generation from, ServerList list) {
-    if (from != newest) {
+    if (from != newest && from != watching) {
       return;
     }
-    newest.hear(list);
-    for (Generation generation : List.copyOf(older)) {
-      generation.overhear(list, newest);
+    if (from == newest && list.kind() != ListKind.FAILED && list.kind() != ListKind.SAVED) {
+      stopWatching();
     }
+    from.hear(list);
+    Set<Generation> others = new LinkedHashSet<>(older);
+    others.add(newest);
+    others.remove(from);
+    others.forEach(generation -> generation.overhear(list, from));
     told.run();
   }
 
