Test that programs side by side write no file, and that repeats go by the settings a request came in with

SideBySideTest starts two programs in one folder with the deploy file's flags and sees by /proc that neither holds a file open for writing, and that the folder has what it had: there is no saved list, log file or temporary name to share.

--- /dev/null
+++ b/proxy/src/test/java/lemondeal/SideBySideTest.java
@@ -0,0 +1,97 @@
+package lemondeal;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two programs started in one folder with the flags of the deploy file, for two deployments. */
+@Timeout(60)
+class SideBySideTest {
+  private static final String READY = "lemondeal: listening on ";
+
+  @TempDir
+  Path folder;
+
+  /** What the deploy file runs, with this test's classes in place of the jar. */
+  private static List<String> command() throws IOException {
+    String line = Files.readAllLines(Path.of("../deploy/balancer.toml")).stream()
+        .filter(each -> each.startsWith("run = ")).findFirst().orElseThrow();
+    List<String> command = new ArrayList<>(List.of(System.getProperty("java.home") + "/bin/java"));
+    for (String word : line.substring(line.indexOf("java ") + 5, line.indexOf(" -jar ")).split(" ")) {
+      command.add(word);
+    }
+    String classes = Stream.of(System.getProperty("java.class.path").split(File.pathSeparator))
+        .map(each -> Path.of(each).toAbsolutePath().toString()).collect(Collectors.joining(File.pathSeparator));
+    command.addAll(List.of("-Djava.io.tmpdir=.", "-cp", classes, "lemondeal.Main", "serve"));
+    return command;
+  }
+
+  private Process start(String name, String requestClass) throws IOException {
+    String text = Files.readString(Path.of("../example/config.json")).replace("127.0.0.1:8443", "127.0.0.1:0")
+        .replace("\"example\"", "\"" + name + "\"").replace("\"chat\"", "\"" + requestClass + "\"");
+    Path config = Files.writeString(folder.resolve(name + ".json"), text);
+    ProcessBuilder builder = new ProcessBuilder(command()).directory(folder.toFile()).redirectErrorStream(true);
+    builder.environment().put("GW_CONFIG", config.toString());
+    return builder.start();
+  }
+
+  private static void awaitReady(Process program) throws IOException {
+    BufferedReader said = new BufferedReader(new InputStreamReader(program.getInputStream(), StandardCharsets.UTF_8));
+    String line = said.readLine();
+    while (line != null && !line.startsWith(READY)) {
+      line = said.readLine();
+    }
+    assertNotNull(line, "it ended before it listened");
+  }
+
+  /** Regular files that the process holds open for writing. */
+  private static List<String> written(Process program) throws IOException {
+    List<String> written = new ArrayList<>();
+    Path open = Path.of("/proc/" + program.pid() + "/fd");
+    try (Stream<Path> files = Files.list(open)) {
+      for (Path file : files.toList()) {
+        String flags = Files.readString(open.resolveSibling("fdinfo").resolve(file.getFileName().toString()))
+            .replaceAll("(?s).*flags:\\s*(\\d+).*", "$1");
+        if (Files.isRegularFile(file) && (Integer.parseInt(flags, 8) & 3) != 0) {
+          written.add(file.toRealPath().toString());
+        }
+      }
+    }
+    return written;
+  }
+
+  @Test
+  void neitherWritesAFile() throws Exception {
+    Process one = start("one", "chat");
+    Process other = start("other", "feed");
+    try {
+      awaitReady(one);
+      awaitReady(other);
+      assertEquals(List.of(), written(one));
+      assertEquals(List.of(), written(other));
+      try (Stream<Path> left = Files.list(folder)) {
+        assertEquals(List.of("one.json", "other.json"),
+            left.map(each -> each.getFileName().toString()).sorted().toList());
+      }
+      assertTrue(one.isAlive() && other.isAlive());
+    } finally {
+      one.destroyForcibly().waitFor();
+      other.destroyForcibly().waitFor();
+    }
+  }
+}
--- a/proxy/src/test/java/lemondeal/proxy/ReloadCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ReloadCrossingsTest.java
@@ -40,6 +40,7 @@
 import lemondeal.Balancer.WakeAfter;
 import lemondeal.Scripted;
 import lemondeal.config.Config;
+import lemondeal.module.Logic;
 import lemondeal.proxy.Site.Held;
 import lemondeal.proxy.Site.Peer;
 import org.junit.jupiter.api.Test;
@@ -218,6 +219,30 @@
     }
   }
 
+  /** The real module: a request that may be repeated is harmless to try again, also when its class no longer is. */
+  @Test
+  void whatMayBeRepeatedIsSaidByTheSettingsItCameInWith() throws Exception {
+    try (Site site = Site.of(event -> List.of(), setup -> {
+      setup.module = new Logic();
+      setup.config = given -> text = given.replace("\"cancelling\":true", "\"cancelling\":true,\"tryLimit\":3");
+    })) {
+      site.proxy.renewBy(Logic::new);
+      new DiscoveryPeer(site).list(2, site.instance("in_service"));
+      site.await(ServerList.class);
+      Peer old = site.client(CHAT);
+      Peer server = site.atServer();
+      assertTrue(server.line().startsWith("OPEN "));
+      reload(site, ReloadCrossingsTest::other);
+      Peer fresh = site.client(FEED);
+      Peer again = site.atServer();
+      assertTrue(again.line().startsWith("OPEN "));
+      server.reset();
+      again.reset();
+      assertEquals("BUSY", old.line());
+      assertEquals("ERR", fresh.line());
+    }
+  }
+
   private static List<Action> askAndWake(Event event) {
     if (event instanceof Arrived) {
       return List.of(new Probe(Site.SERVER), new WakeAfter(1_000_000, 7));
