--- a/proxy/src/test/java/lemondeal/proxy/ReloadCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ReloadCrossingsTest.java
@@ -438,6 +438,20 @@
     }
   }
 
+  /** Where modules can't be made anew, as with an operator's own file, that is said and nothing is mixed. */
+  @Test
+  void withoutModulesToMakeSettingsWaitForTheNextStart() throws Exception {
+    try (Site site = Site.of(ProxyTest::sendOnce, setup -> {
+      setup.log = log;
+      setup.config = given -> text = given;
+    })) {
+      reload(site, ReloadCrossingsTest::other);
+      ProxyTest.up(site, site.client(CHAT));
+      assertEquals("ERR", site.client(FEED).line());
+      assertTrue(logged.contains("lemondeal: the new settings count from the next start"), logged::toString);
+    }
+  }
+
   /** A list that can't be read refuses the whole configuration in one line; the settings in force go on. */
   @Test
   void aListThatCannotBeReadKeepsTheOldSettings() throws Exception {
