--- a/proxy/src/main/java/lemondeal/module/Requests.java
+++ b/proxy/src/main/java/lemondeal/module/Requests.java
@@ -136,7 +136,7 @@
       cold.opened(-1);
       flow.established = false;
     } else {
-      setups.failed(event.outcome(), event.elapsed());
+      setups.failed(s, event.outcome(), event.elapsed());
     }
     if (event.over() || flow.gone) {
       node.flows.remove(event.id());
