--- a/proxy/src/main/java/lemondeal/module/ColdAdmission.java
+++ b/proxy/src/main/java/lemondeal/module/ColdAdmission.java
@@ -57,16 +57,13 @@
 
   /** Whether this node may send to the server now without eating into the other nodes' turns. */
   boolean admits(Server s) {
-    if (isCold(s)) {
-      deal(s);
-    }
-    return !isCold(s) || s.turns >= 1;
+    return !isCold(s) || deal(s) >= 1;
   }
 
   /** Adds the turns that came since the last look. They come as fast as a cold server fills, which is a part
    * of its budget, and lapse after the windows that the rest of it covers: so no window sees more than the
    * budget, though a turn lasts until a node with little traffic has a use for it. */
-  private void deal(Server s) {
+  private double deal(Server s) {
     Rules rules = node.settings.rules();
     double windows = Math.max(WINDOWS_LEAST, rules.fallMultiple());
     double share = Math.max(rules.fallMultiple() * intake(s), 1.0 / Math.max(1, rules.overloadFor()))
@@ -80,7 +77,7 @@
       s.turns += share * (warmTime(s, node.now) - warmTime(s, s.dealtAt));
     }
     s.dealtAt = node.now;
-    s.turns -= Math.max(0, Math.floor(s.turns - lasting));
+    return s.turns -= Math.max(0, Math.floor(s.turns - lasting));
   }
 
   /** Where this node stands in the round of all: by its number, from a point that is each server's own. */
--- a/proxy/src/main/java/lemondeal/module/Flow.java
+++ b/proxy/src/main/java/lemondeal/module/Flow.java
@@ -73,9 +73,7 @@
 
   /** A keyed request that may have run goes only to servers that drop its repeats. */
   boolean repeatsDropped(Server s) {
-    if (!mayHaveRun || effect() != Effect.KEYED || type.scope() == RepeatScope.ALL) {
-      return true;
-    }
-    return s.zone == bound.zone && (type.scope() == RepeatScope.ZONE || s.cell == bound.cell);
+    return !mayHaveRun || effect() != Effect.KEYED || type.scope() == RepeatScope.ALL
+        || (s.zone == bound.zone && (type.scope() == RepeatScope.ZONE || s.cell == bound.cell));
   }
 }
--- a/proxy/src/main/java/lemondeal/module/Membership.java
+++ b/proxy/src/main/java/lemondeal/module/Membership.java
@@ -11,7 +11,7 @@
   private static final long ASK_WAITED = 300_000; // a call that failed so late waited for its turn in vain
   private static final long ASK_OVERRUN_PER_NODE = 30_000; // mean pause then: 33 calls a second of all
   private static final long ASK_OVERRUN_MOST = 3_000_000;
-  private static final long ASK_AGAIN_MOST = 5_000_000; // what was missed counts after 6 s
+  private static final long ASK_AGAIN_MOST = 5_000_000; // no answer came: its changes count after 6 s
   static final long TOKEN_ASK = 0;
 
   private final Node node;
@@ -39,7 +39,6 @@
     }
     node.out.add(new Subscribe(true));
     askedAt = node.now;
-    // Should no answer come at all, the call is made again before the node counts as not asking.
     askAt(Math.min(node.settings.rules().askEvery() / 2, ASK_AGAIN_MOST));
   }
 
@@ -48,19 +47,16 @@
     node.out.add(new WakeAfter(Math.max(1, pause), TOKEN_ASK));
   }
 
-  /** Calls again after a pause that doubles and is drawn: nodes turned away must not return together. */
+  /** Calls again after a pause that doubles and is drawn: nodes turned away must not return together. A
+   * discovery that is down is cheap to call; one that is overrun may never come out of it by itself. */
   private void askLater() {
     boolean waited = !subscribed && node.now - askedAt >= ASK_WAITED;
     subscribed = false;
-    long soon = Math.min(ASK_BACKOFF_MOST, ASK_BACKOFF << Math.min(askFailures++, 8));
-    long pause = waited ? pauseOverrun() : soon;
-    askAt(pause / 2 + node.random.nextLong(pause));
-  }
-
-  /** A discovery that is down is cheap to call; one that is overrun may never come out of it by itself. */
-  private long pauseOverrun() {
-    long most = Math.min(ASK_OVERRUN_MOST, ASK_OVERRUN_PER_NODE * node.settings.nodes());
-    return Math.min(Math.max(ASK_BACKOFF_MOST, most), ASK_BACKOFF_MOST << Math.min(waitedInVain++, 8));
+    long overrun = Math.min(ASK_OVERRUN_MOST, ASK_OVERRUN_PER_NODE * node.settings.nodes());
+    long most = waited ? Math.max(ASK_BACKOFF_MOST, overrun) : ASK_BACKOFF_MOST;
+    long pause = waited ? ASK_BACKOFF_MOST << Math.min(waitedInVain++, 8)
+        : ASK_BACKOFF << Math.min(askFailures++, 8);
+    askAt(Math.min(most, pause) / 2 + node.random.nextLong(Math.min(most, pause)));
   }
 
   void serverList(ServerList event) {
@@ -75,9 +71,7 @@
       waitedInVain = 0;
     }
     if (event.kind() != ListKind.CHANGES) {
-      for (Server s : node.fleet) {
-        s.state = ServerState.GONE;
-      }
+      node.servers.values().forEach(s -> s.state = ServerState.GONE);
     }
     for (ServerEntry entry : event.entries()) {
       update(node.server(entry.server()), entry);
@@ -85,11 +79,7 @@
     node.servers.values().removeIf(s -> s.state == ServerState.GONE);
     node.fleet = node.servers.values().toArray(new Server[0]);
     Arrays.sort(node.fleet, (a, b) -> a.name.compareTo(b.name));
-    Set<Integer> zones = new HashSet<>();
-    for (Server s : node.fleet) {
-      zones.add(s.zone);
-    }
-    node.zones = zones.size();
+    node.zones = (int) node.servers.values().stream().mapToInt(s -> s.zone).distinct().count();
   }
 
   private void update(Server s, ServerEntry entry) {
--- a/proxy/src/main/java/lemondeal/module/Requests.java
+++ b/proxy/src/main/java/lemondeal/module/Requests.java
@@ -74,7 +74,7 @@
     s.sentSince++;
     s.trials--;
     flow.sent(s, node.now);
-    setups.started();
+    setups.out++;
     node.out.add(new Send(flow.request.id(), s.name, setups.timeout(flow, left)));
   }
 
@@ -98,11 +98,9 @@
   /** When coming again makes sense: the client is told, rather than held so that it does not come. */
   private long retryAfter(Flow flow) {
     Limits limits = node.settings.limits();
-    if (!limits.retryAfter()) {
-      return 0;
-    }
     long pause = groups.turnedAway(flow) ? limits.maxRetryAfter() : Math.max(HOLD, ranking.placeIn(flow));
-    return Math.min(limits.maxRetryAfter(), Math.max(pause, setups.heldUntil - node.now));
+    return !limits.retryAfter() ? 0
+        : Math.min(limits.maxRetryAfter(), Math.max(pause, setups.heldUntil - node.now));
   }
 
   void established(Established event) {
--- a/proxy/src/main/java/lemondeal/module/Setups.java
+++ b/proxy/src/main/java/lemondeal/module/Setups.java
@@ -21,7 +21,7 @@
 
   private final Node node;
   private double allowed = SETUPS_FIRST;
-  private int out;
+  int out;
   long heldUntil = Node.NEVER;
   private int failures;
   private int late; // time-outs in a row, each at another server, with one out at once; fewer as some come up
@@ -39,10 +39,6 @@
     return out < allowed && node.now >= heldUntil;
   }
 
-  void started() {
-    out++;
-  }
-
   void succeeded(long elapsed) {
     out--;
     count(elapsed <= SETUPS_SLOW * usual || usual == 0);
@@ -106,9 +102,8 @@
   /** Leaves time for a fallback, but not little: set-ups given up early stay in queues and keep them full. A
    * repeat has until its window ends: its dial may be slow, and what reaches the server later counts anew. */
   long timeout(Flow flow, long left) {
-    boolean last = flow.tried.size() >= node.settings.limits().maxAttempts();
-    boolean all = last || flow.type == null || left <= 2 * flow.type.aim()
-        || left * PATIENCE < expected(flow);
+    boolean all = flow.tried.size() >= node.settings.limits().maxAttempts() || flow.type == null
+        || left <= 2 * flow.type.aim() || left * PATIENCE < expected(flow);
     long window = flow.mayRepeatFor(node.now);
     return all && window >= left ? 0 : (long) Math.min(window, all ? left : left * PATIENCE);
   }
--- a/proxy/src/main/java/lemondeal/module/Shedding.java
+++ b/proxy/src/main/java/lemondeal/module/Shedding.java
@@ -32,8 +32,7 @@
       return;
     }
     if (times < HOT) {
-      // The word that it is back under: a server that has recovered must not be left out any longer.
-      s.hotUntil = Node.NEVER;
+      s.hotUntil = Node.NEVER; // its word that it has recovered: it must not be left out any longer
       s.lateUntil = Node.NEVER;
       return;
     }
--- a/proxy/src/test/java/lemondeal/proxy/RepeatLinksTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/RepeatLinksTest.java
@@ -136,7 +136,9 @@
     try (Site site = site(SAFE)) {
       // One that came up at once: set-ups are not slow in general.
       Peer before = site.client(CLIENT);
-      site.atServer(module.next()).send("UP before\r\n");
+      Peer sound = site.atServer(module.next());
+      assertTrue(sound.line().startsWith("OPEN "));
+      sound.send("UP before\r\n");
       assertEquals("UP before", before.line());
       Peer client = site.client(CLIENT);
       int first = module.next();
