Switch reloads of whole settings on in the program, and refuse settings without rules or limits

The owner of generations of settings stood ready without its two places in the program: Serve gives the proxy a maker of modules where no operator's file is used, and a first line is read under the settings in force when it is whole, not when its connection was accepted. Settings that lack rules or permissions are refused with file and place: they were read as zeros. ReloadCrossingsTest.aFirstLineReadAfterwards is red without the second place (BUSY for an unknown class instead of ERR).

--- a/proxy/src/main/java/lemondeal/Serve.java
+++ b/proxy/src/main/java/lemondeal/Serve.java
@@ -53,6 +53,9 @@
       Balancer module = traced(extras == null ? new Logic() : extras.module(config), config, environment, log);
       Proxy proxy = extras == null ? new Proxy(config, module, log, null)
           : new Proxy(config, module, log, extras.resumption(), extras.sources());
+      if (extras == null) {
+        proxy.renewBy(() -> traced(new Logic(), config, environment, log));
+      }
       Reload reload = new Reload(config, environment, proxy::reconfigure, log,
           extras == null ? () -> { } : extras::reload);
       Hangup.handle(reload::request);
--- a/proxy/src/main/java/lemondeal/config/SettingsCheck.java
+++ b/proxy/src/main/java/lemondeal/config/SettingsCheck.java
@@ -47,6 +47,11 @@
     ifThere(root, "overShareWorth", 0, 1, "0 to 1");
     places();
     classes();
+    for (String section : List.of("rules", "permissions")) {
+      if (root.values().get(section) == null) {
+        throw root.fault(section, "nothing", "an object with the figures that the wire's page names");
+      }
+    }
     tenants();
     rules(root.part("rules"));
     permissions(root.part("permissions"));
--- a/proxy/src/main/java/lemondeal/proxy/PendingLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/PendingLink.java
@@ -71,18 +71,20 @@
       return;
     }
     OpenLine open = OpenLine.parse(line);
-    int requestClass = context.config().names().classes().indexOf(open.value("c"));
+    // The connection may have come under other settings than its request does.
+    Context now = context.newest();
+    int requestClass = now.config().names().classes().indexOf(open.value("c"));
     if (requestClass < 0) {
       throw new ProtocolException("unknown class " + open.value("c"));
     }
     leave();
     if (moreFollows || admission.holds(open.id())) {
       // A client waits behind its first line; and nobody else may use the id of an open request.
-      context.answers().failed(link, requestClass);
+      now.answers().failed(link, requestClass);
     } else if (!admission.admits()) {
-      context.answers().busy(link, requestClass, context.limits().throttleFor());
+      now.answers().busy(link, requestClass, now.limits().throttleFor());
     } else {
-      new ClientLink(context, admission, link, open, requestClass).start();
+      new ClientLink(now, admission, link, open, requestClass).start();
       pending.trim();
     }
   }
--- a/proxy/src/test/java/lemondeal/config/SettingsCheckTest.java
+++ b/proxy/src/test/java/lemondeal/config/SettingsCheckTest.java
@@ -74,6 +74,8 @@
       "\"warmWithin\": 9000000 | \"warmWithin\": -9 | rules.warmWithin: found -9.0; allowed: microseconds, 0 to",
       "\"fallMultiple\": 4.0 | \"fallMultiple\": 0 | rules.fallMultiple: found 0.0; allowed: a number above 0",
       "\"coldFrom\": 0.35 | \"coldFrom\": 1.5 | rules.coldFrom: found 1.5; allowed: 0 to 1",
+      "\"rules\": { | \"rule\": { | settings.rules: found nothing; allowed: an object with the figures",
+      "\"permissions\": { | \"other\": { | settings.permissions: found nothing; allowed: an object with the figures",
       "\"rules\": { | \"rules\": 7, \"other\": { | settings.rules should be an object, found 7.0",
       "\"tryLimit\": 3 | \"tryLimit\": 0 | permissions.tryLimit: found 0.0; allowed: a whole number, 1 to",
       "\"dialTimeout\": 150000 | \"dialTimeout\": 0 | permissions.dialTimeout: found 0.0; allowed: microseconds, 1 to",
--- a/proxy/src/test/java/lemondeal/proxy/ReloadCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ReloadCrossingsTest.java
@@ -105,6 +105,28 @@
     }
   }
 
+  /** The connection came before, its first line is read after the new settings have come. */
+  @Test
+  void aFirstLineReadAfterwardsGoesByTheNewSettings() throws Exception {
+    try (Site site = site(ProxyTest::sendOnce)) {
+      assertEquals("PONG", site.client().send("PING\r\n").line());
+      Peer old = site.client();
+      Peer fresh = site.client();
+      assertEquals("PONG", old.send("PING\r\n").line());
+      assertEquals("PONG", fresh.send("PING\r\n").line());
+      String line = "OPEN %s 7f3a9c21e0b4d655 %s\r\n";
+      try (Held held = site.hold()) {
+        old.send(line.formatted("000000000000000a", CHAT)).awaitUnread(40);
+        fresh.send(line.formatted("000000000000000b", FEED)).awaitUnread(40);
+        hand(site, Reloads::other);
+      }
+      assertEquals("ERR", old.line());
+      ProxyTest.up(site, fresh);
+      next(0, Established.class);
+      assertFalse(any(site.events, Arrived.class), site.events::toString);
+    }
+  }
+
   /** It is read before: the module that was in force has it, and its client is owed its answer in the old time. */
   @Test
   void aFirstLineReadBeforehandGoesByTheOldSettings() throws Exception {
--- a/proxy/src/test/java/lemondeal/proxy/Reloads.java
+++ b/proxy/src/test/java/lemondeal/proxy/Reloads.java
@@ -68,7 +68,7 @@
 
   /** Hands the proxy the configuration with these changes; it is taken over in its next turn. */
   void hand(Site site, UnaryOperator<String> change) throws IOException {
-    Path file = Files.writeString(folder.resolve("config.json"), change.apply(text));
+    Path file = Files.writeString(folder.resolve("config.json"), Site.withRules(change.apply(text)));
     site.proxy.reconfigure(Config.read(Map.of("GW_CONFIG", file.toString())));
   }
 
--- a/proxy/src/test/java/lemondeal/proxy/Site.java
+++ b/proxy/src/test/java/lemondeal/proxy/Site.java
@@ -268,7 +268,7 @@
     for (int i = 0; i < servers.size(); i++) {
       instances.add(instance(i, "in_service"));
     }
-    return setup.config.apply("""
+    return withRules(setup.config.apply("""
         {"name":"n0","listen":"127.0.0.1:0","admin_addr":"127.0.0.1:0",
          "discovery":"127.0.0.1:%d","seed":"1",
          "limits":{"sockets":%d,"memory_mb":192},
@@ -276,7 +276,14 @@
          "settings":{"azs":["a"],"flavors":["m"],"familyInfo":{%s "messageAim":[60000]},
            "permissions":{"dialTimeout":500000,"cancelling":true},
            "profiles":[{"name":"chat","semantics":"idempotent","aim":1000000,"hardLimit":%d}]}}
-        """.formatted(discovery.getLocalPort(), sockets, String.join(",", instances), family, setup.longestDeadline));
+        """.formatted(discovery.getLocalPort(), sockets, String.join(",", instances), family, setup.longestDeadline)));
+  }
+
+  /** The configuration with the figures of the rules, where a test has given none of its own. */
+  static String withRules(String text) {
+    return text.contains("\"rules\"") ? text : text.replace("\"settings\":{", "\"settings\":{\"rules\":{"
+        + "\"answerSlack\":20000,\"drainGrace\":1000000,\"fallMultiple\":4,\"overloadFor\":2000000,"
+        + "\"coldFrom\":0.35,\"warmWithin\":9000000},");
   }
 
   // ---- The proxy's time and turns -------------------------------------------------------------
