Move clients of a silent connection in 4 s, as their next line may come 2 s late

PROTOCOL grants 7 s. Limits.silence counted 5 s from the first line left unanswered, which comes up to 2 s after the silence began, and a proxy on part of a core looks late: nothing was left. Change: 7 s less the clients' 2 s less 1 s to spare.

--- a/proxy/src/main/java/lemondeal/config/Limits.java
+++ b/proxy/src/main/java/lemondeal/config/Limits.java
@@ -108,6 +108,11 @@
   private static final long DRAIN_MORE = 500 * MILLI;
   private static final long DRAIN_ACCEPT = 450 * MILLI;
   private static final long LINGER = 500 * MILLI;
+  /**
+   * PROTOCOL: a connection that brings nothing back must be ended or moved within 7 s. Clients send a line every 2 s, so
+   * the first that is left unanswered may come that late, and 1 s is left for a proxy that stands still meanwhile.
+   */
+  private static final long SILENCE = 7 * SECOND - 2 * SECOND - SECOND;
   /** Kept back at a stop for the last client's line to end. */
   private static final long DRAIN_SPARE = 300 * MILLI;
   private static final long DRAIN_STEP = 50 * MILLI;
@@ -146,7 +151,7 @@
     int accepted = shared ? clients + clients / SLOTS_PER_PENDING + idle : 2 * clients + idle;
     return new Limits(4096, RING_BYTES, 1 << 20, 64 * 1024, 64 * 1024, clients, ringsMb,
         shared, pending, lingering, accepted, 32, ADMIN_CALLERS, 256, 5 * SECOND,
-        3 * SECOND, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, 5 * SECOND, 400 * MILLI,
+        3 * SECOND, 5 * MILLI, 1024, dialTimeout, 10 * MILLI, 2300 * MILLI, SILENCE, 400 * MILLI,
         30 * MILLI, 64, LINGER, 5 * SECOND, SECOND, 1.0 / 3, SECOND,
         keepalive, 3500 * MILLI, 250 * MILLI, 35 * SECOND, SECOND, DRAIN_ACCEPT,
         drainMoves - drainSpread, DRAIN_STEP, drainSpread, drainMost, probeLinks);
