Learn nothing of a server from a probe that never went out

Seen by reading: Health.probed took every outcome but three as an answer, so a probe that found no descriptor (NOT_SENT) or whose link was closed from this side (CANCELLED) cleared the marks of silence.

--- a/proxy/src/main/java/lemondeal/module/Health.java
+++ b/proxy/src/main/java/lemondeal/module/Health.java
@@ -62,6 +62,7 @@
     s.probeOut = false;
     switch (outcome) {
       case NO_CONNECTION, TIMED_OUT, RESET -> unreached(s, "probe " + outcome);
+      case NOT_SENT, CANCELLED -> { }
       default -> s.answers();
     }
   }
