--- a/proxy/src/main/java/lemondeal/module/ColdAdmission.java
+++ b/proxy/src/main/java/lemondeal/module/ColdAdmission.java
@@ -8,7 +8,7 @@
  * node's turn, by number, so that the shares sum to the budget without a word among the nodes. That holds for
  * shares of less than a call in the window too, and with uneven traffic: no node ever sends out of turn. */
 final class ColdAdmission {
-  private static final double WINDOWS_LEAST = 2; // that a turn lasts: one to be dealt in, one to be used in
+  private static final double WINDOWS = 2; // that a budget is dealt over: half comes in each, half lasts on
 
   private final Node node;
   private final Load load;
@@ -60,15 +60,14 @@
     return !isCold(s) || deal(s) >= 1;
   }
 
-  /** Adds the turns that came since the last look. They come as fast as a cold server fills, which is a part
-   * of its budget, and lapse after the windows that the rest of it covers: so no window sees more than the
-   * budget, though a turn lasts until a node with little traffic has a use for it. */
+  /** Adds the turns that came since the last look. Half a budget comes in a window, and turns lapse once half
+   * a budget of them is there: so no window sees more than the budget, though a turn lasts until a node with
+   * little traffic has a use for it. */
   private double deal(Server s) {
     Rules rules = node.settings.rules();
-    double windows = Math.max(WINDOWS_LEAST, rules.fallMultiple());
     double share = Math.max(rules.fallMultiple() * intake(s), 1.0 / Math.max(1, rules.overloadFor()))
-        / windows / Math.max(1, node.settings.nodes());
-    double lasting = share * warmth(age(s, node.now)) * (windows - 1) * rules.overloadFor();
+        / WINDOWS / Math.max(1, node.settings.nodes());
+    double lasting = share * warmth(age(s, node.now)) * (WINDOWS - 1) * rules.overloadFor();
     if (s.dealtAt == Node.NEVER) {
       s.turns = place(s) + lasting + share * warmTime(s, node.now);
       // What came before this process began was perhaps used by the one before it.
