--- a/proxy/src/main/java/lemondeal/module/ColdAdmission.java
+++ b/proxy/src/main/java/lemondeal/module/ColdAdmission.java
@@ -1,19 +1,19 @@
 package lemondeal.module;
 
-import static lemondeal.module.Rendezvous.mix;
+import static lemondeal.module.Rendezvous.*;
 
 import lemondeal.Balancer.*;
 
-/** Keeps what the fleet sends together to a server started lately within what that can take: each call is one
- * node's turn, by number, so that the shares sum to the budget without a word among the nodes. That holds for
- * shares of less than a call in the window too, and with uneven traffic: no node ever sends out of turn. */
+/** Keeps what the fleet sends together to a server started lately within what that can take. */
 final class ColdAdmission {
-  private static final double WINDOWS = 2; // that a budget is dealt over: half comes in each, half lasts on
+  private static final double RUSH_SPARE = 0.5; // sends reckoned beside those of the last window: it saw few
 
   private final Node node;
   private final Load load;
   private int openHere;
   private int mostOpenHere;
+  private double recentSends;
+  private long recentAt = Node.NEVER;
 
   ColdAdmission(Node node, Load load) {
     this.node = node;
@@ -25,76 +25,94 @@
     mostOpenHere = Math.max(mostOpenHere, openHere);
   }
 
-  /** Whatever it is sent for counts: a first attempt, a repeat, or a connection in mid-flow. */
   void sent(Server s) {
-    s.turns--;
-  }
-
-  private long age(Server s, long at) {
-    return s.startedAt == 0 ? Long.MAX_VALUE : Math.max(0, at - s.startedAt);
+    if (age(s) < node.settings.rules().warmWithin()) {
+      rollWindow(s);
+      s.coldSends++;
+    }
+    recentSends = 1 + sendsLately();
+    recentAt = node.now;
   }
 
-  private boolean isCold(Server s) {
-    return age(s, node.now) < node.settings.rules().warmWithin();
+  /** Sends of this node in the last window, by a count that fades. */
+  private double sendsLately() {
+    double windows = (double) (node.now - recentAt) / Math.max(1, node.settings.rules().overloadFor());
+    return recentSends * StrictMath.exp(-windows);
   }
 
-  /** Share of its capacity that a cold server has for certain: grows evenly from the cold share to all. */
-  private double warmth(double age) {
-    double from = Math.max(0.01, Math.min(1, node.settings.rules().coldFrom()));
-    return from + (1 - from) * age / node.settings.rules().warmWithin();
+  private long age(Server s) {
+    return s.startedAt == 0 ? Long.MAX_VALUE : Math.max(0, node.now - s.startedAt);
   }
 
-  /** That share added up since its start: the time in which it could have done as much, had it been warm. */
-  private double warmTime(Server s, long at) {
-    return age(s, at) * warmth(age(s, at) / 2.0);
+  /** Share of its capacity that a server has for certain: grows evenly from the cold share to all. */
+  private double warmth(Server s) {
+    long age = age(s);
+    Rules rules = node.settings.rules();
+    if (age >= rules.warmWithin()) {
+      return 1;
+    }
+    double from = Math.max(0.01, Math.min(1, rules.coldFrom()));
+    return from + (1 - from) * age / rules.warmWithin();
   }
 
   /** Slow start: of a server's keys, the share of clients that it has the capacity for by now. Cut by
    * client, not by a lower weight: a whole group of clients would push over what is still cold. */
   boolean slowStarts(Server s, Flow flow) {
-    return isCold(s) && flow.clientPoint(s) < 1 - warmth(age(s, node.now));
+    return age(s) < node.settings.rules().warmWithin() && flow.clientPoint(s) < 1 - warmth(s);
   }
 
-  /** Whether this node may send to the server now without eating into the other nodes' turns. */
+  /** Whether this node may send to the server now without eating into the other nodes' cold budget. */
   boolean admits(Server s) {
-    return !isCold(s) || deal(s) >= 1;
+    if (age(s) >= node.settings.rules().warmWithin()) {
+      return true;
+    }
+    rollWindow(s);
+    return s.coldSends < turns(s);
   }
 
-  /** Adds the turns that came since the last look. Half a budget comes in a window, and turns lapse once half
-   * a budget of them is there: so no window sees more than the budget, though a turn lasts until a node with
-   * little traffic has a use for it. */
-  private double deal(Server s) {
-    Rules rules = node.settings.rules();
-    double share = Math.max(rules.fallMultiple() * intake(s), 1.0 / Math.max(1, rules.overloadFor()))
-        / WINDOWS / Math.max(1, node.settings.nodes());
-    double lasting = share * warmth(age(s, node.now)) * (WINDOWS - 1) * rules.overloadFor();
-    if (s.dealtAt == Node.NEVER) {
-      s.turns = place(s) + lasting + share * warmTime(s, node.now);
-      // What came before this process began was perhaps used by the one before it.
-      s.turns = s.startedAt < node.beganAt ? s.turns % 1 : s.turns;
-    } else {
-      s.turns += share * (warmTime(s, node.now) - warmTime(s, s.dealtAt));
+  private void rollWindow(Server s) {
+    long window = age(s) / Math.max(1, node.settings.rules().overloadFor());
+    if (s.coldWindow != window) {
+      s.coldWindow = window;
+      s.coldSends = 0;
     }
-    s.dealtAt = node.now;
-    return s.turns -= Math.max(0, Math.floor(s.turns - lasting));
   }
 
-  /** Where this node stands in the round of all: by its number, from a point that is each server's own. */
-  private double place(Server s) {
-    long nodes = Math.max(1, node.settings.nodes());
-    return (double) Math.floorMod(node.settings.node() + mix(s.hash ^ mix(s.startedAt)), nodes) / nodes;
+  /** This node's sends to a cold server in the present window. The fleet's budget is dealt out send by send,
+   * from a node that changes with the window: the shares sum to it without a word among the nodes. While few
+   * requests come most shares lapse, and a node may use one send out of turn; none in the window it began in. */
+  private int turns(Server s) {
+    Rules rules = node.settings.rules();
+    double budget = rules.fallMultiple() * warmth(s) * intake(s) * rules.overloadFor() / 1e6;
+    long deal = mix(s.hash ^ mix(s.startedAt + s.coldWindow));
+    long sends = (long) (budget + unit(mix(deal)));
+    int nodes = Math.max(1, node.settings.nodes());
+    long place = Math.floorMod(node.settings.node() + deal, (long) nodes);
+    long turns = Math.max(0, (sends - place + nodes - 1) / nodes);
+    boolean spare = sends > 0 && turns == 0 && !rush(s, budget);
+    boolean began = s.startedAt < node.beganAt && node.now - node.beganAt < rules.overloadFor();
+    return began ? 0 : spare ? 1 : (int) Math.min(Integer.MAX_VALUE, turns);
   }
 
-  /** New connections a microsecond that fill a server of this size over its warm-up, judged low: over the
-   * longest one, by what warm servers say that they carry, which all nodes are told alike. Where none does,
-   * by the most that this node held: over all nodes that sums to what was held. */
+  /** New connections a second that fill a server of this weight over its warm-up, judged low: from the most
+   * connections that this node held, which a node just restarted has not seen. */
   private double intake(Server s) {
-    double sizes = 0;
+    double filling = mostOpenHere / (node.settings.rules().warmWithin() / 1e6);
+    double total = 0;
+    for (Server other : node.fleet) {
+      total += other.state == ServerState.READY ? other.weight : 0;
+    }
+    return total > 0 ? filling * node.settings.nodes() * s.weight / total : 0;
+  }
+
+  /** Whether the nodes together would overspend the budget if all sent as this one does lately. Counts only
+   * servers that take clients now: with the others passed over, a cold one would get the herd. */
+  private boolean rush(Server s, double budget) {
+    double taking = 0;
     for (Server other : node.fleet) {
-      sizes += other.state == ServerState.READY ? load.size(other) : 0;
+      taking += other.works(node.now) && !load.full(other) ? other.weight * warmth(other) : 0;
     }
-    double carried = load.carried();
-    double each = carried > 0 ? carried : sizes > 0 ? mostOpenHere * node.settings.nodes() / sizes : 0;
-    return each * load.size(s) / node.settings.rules().warmWithin();
+    double share = taking > 0 ? Math.min(1, s.weight * warmth(s) / taking) : 1;
+    return node.settings.nodes() * (RUSH_SPARE + sendsLately()) * share > budget;
   }
 }
--- a/proxy/src/main/java/lemondeal/module/Load.java
+++ b/proxy/src/main/java/lemondeal/module/Load.java
@@ -57,25 +57,6 @@
     return Math.max(s.lateUntil, reported);
   }
 
-  /** What weights tell of a server's size: nothing where they follow its load. */
-  double size(Server s) {
-    return node.settings.weights() == WeightMeaning.LIVE ? 1 : s.weight;
-  }
-
-  /** Connections for each unit of size that fill a warm server, by their own reports; 0 where none told. */
-  double carried() {
-    double held = 0;
-    double demand = 0;
-    for (Server s : node.fleet) {
-      boolean warm = s.startedAt == 0 || s.demandAt - s.startedAt >= node.settings.rules().warmWithin();
-      if (warm && s.held >= HELD_LEAST) {
-        held += s.held;
-        demand += s.demand * size(s);
-      }
-    }
-    return demand > 0 ? held / demand : 0;
-  }
-
   /** How much a server that is passed over counts beside the others that are. */
   double roomPart(Server s) {
     double room = reportHolds(s) ? Math.max(ROOM_LEAST, 1 - expectedDemand(s)) : ROOM_UNKNOWN;
--- a/proxy/src/main/java/lemondeal/module/Server.java
+++ b/proxy/src/main/java/lemondeal/module/Server.java
@@ -24,8 +24,8 @@
   long lossesSince = NEVER;
   long unansweredAt = NEVER; // when a line there last went unanswered
   long unreachedAt = NEVER; // when it last could not be reached
-  double turns; // of this node to send to it while it is cold, with the part of the next
-  long dealtAt = NEVER; // when they were last dealt
+  long coldWindow = -1;
+  int coldSends;
   double shed; // share of its clients that pass over it because it was hot, as of shedAt
   long shedAt = NEVER;
   long hotUntil = NEVER;
@@ -65,7 +65,7 @@
     trials = trialsNext = Integer.MAX_VALUE;
     errorShare = 0;
     probeOut = false;
-    dealtAt = NEVER;
+    coldWindow = -1;
     shed = 0;
   }
 }
