--- a/proxy/src/main/java/lemondeal/module/ColdAdmission.java
+++ b/proxy/src/main/java/lemondeal/module/ColdAdmission.java
@@ -80,7 +80,7 @@
 
   /** This node's sends to a cold server in the present window. The fleet's budget is dealt out send by send,
    * from a node that changes with the window: the shares sum to it without a word among the nodes. While few
-   * requests come most shares lapse, and a node may use one send out of turn; none in the window it began in. */
+   * requests come most shares lapse, and a node may use one out of turn; none where it began. */
   private int turns(Server s) {
     Rules rules = node.settings.rules();
     double budget = rules.fallMultiple() * warmth(s) * intake(s) * rules.overloadFor() / 1e6;
