Give the lab's proxies the asking time that their settings lacked

Seen: FleetSiteTest, nine errors: a start is refused where lists are asked for and rules.askEvery is missing, as the settings' check says; it was read as 0. OperatorLimitsTest started its program with empty settings, which are refused before its rings are looked at: it takes the example's file, with the memory that it needs. FleetSite, DrainDay and OperatorLimits tests pass.

--- a/lab/src/main/java/lemondeal/lab/stream/StreamSite.java
+++ b/lab/src/main/java/lemondeal/lab/stream/StreamSite.java
@@ -124,7 +124,7 @@
            "permissions":{"dialTimeout":500000,"keepalive":5000000,"cancelling":true,"retryAfter":true,
              "maxRetryAfter":2000000,"tryLimit":3,"cpuUsPerS":1000000},
            "rules":{"answerSlack":20000,"drainGrace":1000000,"fallMultiple":4.0,"overloadFor":2000000,
-             "coldFrom":0.35,"warmWithin":9000000},
+             "coldFrom":0.35,"warmWithin":9000000,"askEvery":10000000},
            "prices":{"crossZone":0.03,"waste":0.2,"probe":0.0023,"moves":0.01},
            "profiles":[{"name":"order-sync","semantics":"idempotent","aim":500000,"hardLimit":2000000},
              {"name":"chat","semantics":"idempotent","aim":500000,"hardLimit":2000000}]}}
--- a/lab/src/test/java/lemondeal/lab/OperatorLimitsTest.java
+++ b/lab/src/test/java/lemondeal/lab/OperatorLimitsTest.java
@@ -22,16 +22,15 @@
   @Test
   void ringsBeyondTheDirectMemoryAreOneLineAndExitTwo() throws Exception {
     Path config = folder.resolve("config.json");
-    Files.writeString(config, """
-        {"name":"n1","listen":"127.0.0.1:0","discovery":"127.0.0.1:1","limits":{"sockets":1024,"memory_mb":4096},
-         "known":{"generation":0,"reset":true,"instances":[]},"settings":{}}
-        """);
+    Files.writeString(config, Files.readString(Path.of("../example/config.json"))
+        .replaceFirst("\"memory_mb\": *[0-9]+", "\"memory_mb\":4096"));
     Path operator = folder.resolve("operator.yaml");
     Files.writeString(operator, "version: 1\nlimits: {rings_mb: 200}\n");
     ProcessBuilder builder = new ProcessBuilder(ServeProcess.command("serve", "--config", operator.toString()))
         .redirectErrorStream(true);
     builder.environment().keySet().removeIf(name -> name.startsWith("GW_"));
     builder.environment().put("GW_CONFIG", config.toString());
+    builder.environment().put("GW_LISTEN", "127.0.0.1:0");
     Process serve = builder.start();
     String said = new String(serve.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
     assertTrue(serve.waitFor(30, TimeUnit.SECONDS));
