Let a second order to stop find the stop of the first, as a proxy keeps one

The first order's Stop is kept. Shutdown, Term, Upgrade, HandOver and ReloadCrossings tests pass; red without it.

--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -45,6 +45,8 @@
   private Listener secondAddress;
   private boolean accepting;
   private boolean stopping;
+  /** Null until the order has come; another order finds the same. */
+  private Stop stop;
   private XnioIoThread.Key nextAdvance;
   /** Null where nothing else is counted. */
   private Consumer<Map<String, Long>> more;
@@ -188,7 +190,7 @@
       stopping = true;
       // How long it may take is for the settings to say that are in force by now.
       Limits limits = generations.newest().config().limits();
-      Stop stop = new Stop(limits, wheel, admission, requests, () -> !pending.isEmpty());
+      stop = stop != null ? stop : new Stop(limits, wheel, admission, requests, () -> !pending.isEmpty());
       begun.add(stop);
       if (config.inherited()) {
         stop.handOver(clients);
