End the wait for a dribbling watch by its failure, not by whatever event comes first

Seen red once on a busy machine: the test ended its nine half seconds at the first event of any kind and then looked for the failure. It looks for the failure itself now, within the same nine half seconds. ListCrossingsTest passes.

--- a/proxy/src/test/java/lemondeal/proxy/ListCrossingsTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ListCrossingsTest.java
@@ -135,7 +135,7 @@
       call(watch);
       taken(site, watch, said);
       site.events.clear();
-      for (int i = 0; i < 9 && site.events.isEmpty(); i++) {
+      for (int i = 0; i < 9 && !hasFailed(site); i++) {
         taken(site, watch, "x");
         site.jump(SECOND / 2);
       }
