--- a/review/lib/sitekit.py
+++ b/review/lib/sitekit.py
@@ -243,8 +243,10 @@
     folder = tempfile.mkdtemp()
     proxies = []
     try:
+        # Ended from outside: the processes that were started are ended all the same.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         return await asyncio.wait_for(main(record, folder, proxies), 110)
-    except (CannotRun, asyncio.TimeoutError, OSError) as e:
+    except (CannotRun, asyncio.TimeoutError, asyncio.CancelledError, OSError) as e:
         record.say("could not run: %r" % e)
         return 2
     finally:
