--- a/review/lib/sitekit.py
+++ b/review/lib/sitekit.py
@@ -10,8 +10,6 @@
 import secrets
 import shutil
 import signal
-import socket
-import struct
 import subprocess
 import tempfile
 import time
@@ -46,15 +44,13 @@
 class Discovery:
     """The list of servers, asked for or watched."""
 
-    def __init__(self, record, zones=("hobart",)):
+    def __init__(self, record):
         self.record = record
         self.generation = 1
         self.entries = {}
         self.watches = set()
-        self.changes = {}
         self.port = 0
         self.server = None
-        self.delay = 0.0
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, limit=1 << 20)
@@ -71,7 +67,6 @@
             self.entries.pop(name, None)
         else:
             self.entries[name] = entry
-        self.changes[name] = (self.generation, entry)
         self.record.line("discovery %s %s at %s" % (name, lifecycle, entry["hostPort"]))
         for writer in list(self.watches):
             self.tell(writer, {"generation": self.generation, "reset": False, "instances": [entry]})
@@ -88,8 +83,6 @@
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
             path = head.split(" ")[1]
-            if self.delay:
-                await asyncio.sleep(self.delay)
             if "stream=1" not in path:
                 body = json.dumps(self.known()).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n"
@@ -113,11 +106,6 @@
             self.watches.discard(writer)
             writer.close()
 
-    def stop(self):
-        self.server.close()
-        for writer in list(self.watches):
-            writer.close()
-
 
 SETTINGS = {
     "azs": ["hobart", "launceston", "devonport"],
