Review: an error of a script's own is no broken rule

Python exits with 1 on an uncaught error, which a case also used for a broken rule. A case now has a code of its own for that, and everything else but 0 becomes 2.

--- a/review/lib/sitekit.py
+++ b/review/lib/sitekit.py
@@ -13,6 +13,7 @@
 import subprocess
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -34,7 +35,10 @@
 
     def say(self, text):
         self.line(text)
-        print(text, flush=True)
+        try:
+            print(text, flush=True)
+        except OSError:
+            pass  # nobody reads; record.txt has it
 
 
 def new_id():
@@ -291,7 +295,16 @@
     return servers
 
 
+# What a case exits with where the rule was broken. Python itself exits with 1 on an error of its own, so `run.sh` takes
+# this for 1, and everything but this and 0 for 2.
+BROKEN = 10
+
+
 def main_of_case(main, here):
     """Runs a case and ends this process with its exit code; open connections of the stand-ins go with it."""
-    code = asyncio.run(run_case(main, os.path.join(here, "record.txt")))
-    os._exit(code)
+    code = 2
+    try:
+        code = asyncio.run(run_case(main, os.path.join(here, "record.txt")))
+    except BaseException:
+        traceback.print_exc()
+    os._exit(BROKEN if code == 1 else code)
