Share the ids of open requests between the processes of an upgrade

Cause: the ids in use were a set in ActiveRequests, which one process keeps for itself, while both processes accept from one listening socket. The old process had the same hole towards the new one. And an id was free from the moment MOVE or an answer was written: a client that had not read it yet could lose its id to another.

Change: RequestIds holds an id until its client's connection has closed; from the final line on, the same client (same key) may use it again, since a moved client reconnects at once. RequestIdLocks shares this through POSIX record locks on one byte an id, in a file of $TMPDIR named after the listening address; only where the socket is inherited. The kernel grants a lock once and frees a dead process's locks, so a killed process leaves nothing behind, one that hangs keeps its ids as it keeps its connections, and nobody waits for anybody. Without a usable folder ids are not shared, a line in the log says so, and all are served.

Why this works: the lock is taken before the first attempt and passed on before MOVE is written, so there is no moment in which two processes may serve one id.

A refused id is counted as ended.id-in-use (bad-first-line before).

--- a/proxy/src/main/java/lemondeal/config/Config.java
+++ b/proxy/src/main/java/lemondeal/config/Config.java
@@ -18,6 +18,8 @@
  * The configuration of a proxy, from the environment and the file that it names.
  *
  * @param inheritedSocket whether the listening socket for clients is inherited as descriptor 0
+ * @param temporaryFolder where this process shares files with others on the same listening socket: {@code TMPDIR}, or
+ *     the JVM's default
  * @param admin the admin endpoint's address, or null where there is none
  * @param discoveryInFile discovery's address in the file itself: a change there takes effect at a reload
  * @param knownServers the server list in discovery's format, as this proxy last had it
@@ -25,10 +27,10 @@
  * @param machineLimits what this process may use, as read at its start
  * @param machineLimitsInFile the same as currently in the file
  */
-public record Config(String name, InetSocketAddress listen, boolean inheritedSocket, InetSocketAddress admin,
-    InetSocketAddress discovery, String discoveryInFile, long seed, Map<String, Object> knownServers, Settings settings,
-    Names names, LoadLineMeaning loadLineMeaning, MachineLimits machineLimits, MachineLimits machineLimitsInFile,
-    Limits limits) {
+public record Config(String name, InetSocketAddress listen, boolean inheritedSocket, Path temporaryFolder,
+    InetSocketAddress admin, InetSocketAddress discovery, String discoveryInFile, long seed,
+    Map<String, Object> knownServers, Settings settings, Names names, LoadLineMeaning loadLineMeaning,
+    MachineLimits machineLimits, MachineLimits machineLimitsInFile, Limits limits) {
 
   /** Names used on the wire, for which the decision module uses indices. */
   public record Names(List<String> classes, List<String> zones, List<String> models) {}
@@ -75,8 +77,8 @@
 
   /** The same without the known servers, which take much memory and are not needed once they are applied. */
   public Config withoutKnownServers() {
-    return new Config(name, listen, inheritedSocket, admin, discovery, discoveryInFile, seed, Map.of(), settings, names,
-        loadLineMeaning, machineLimits, machineLimitsInFile, limits);
+    return new Config(name, listen, inheritedSocket, temporaryFolder, admin, discovery, discoveryInFile, seed, Map.of(),
+        settings, names, loadLineMeaning, machineLimits, machineLimitsInFile, limits);
   }
 
   /** Whether both serve requests in the same way: compares everything that may change while a proxy runs. */
@@ -128,7 +130,7 @@
     return new Config(
         environment.getOrDefault("GW_NAME", root.string("name", "proxy")),
         address("listen", environment.getOrDefault("GW_LISTEN", root.string("listen", ""))),
-        inheritedSocket,
+        inheritedSocket, temporaryFolder(environment.getOrDefault("TMPDIR", "")),
         admin(environment.getOrDefault("GW_ADMIN_ADDR", root.string("admin_addr", ""))),
         discovery(environment, discoveryInFile, previous), discoveryInFile,
         seed(root.string("seed", "0")), root.section("known").values(), SettingsReader.read(settings.values()),
@@ -164,6 +166,10 @@
     return !descriptor.isEmpty();
   }
 
+  private static Path temporaryFolder(String text) {
+    return Path.of(text.isEmpty() ? System.getProperty("java.io.tmpdir") : text);
+  }
+
   private static InetSocketAddress admin(String text) {
     return text.isEmpty() ? null : address("admin_addr", text);
   }
--- a/proxy/src/main/java/lemondeal/net/Link.java
+++ b/proxy/src/main/java/lemondeal/net/Link.java
@@ -41,6 +41,7 @@
   private RingBuffer writeBuffer;
   private Owner owner;
   private boolean closed;
+  private Runnable closeListener = () -> { };
   private boolean sendingEnded;
   private boolean outputShutDown;
   private boolean inputEnded;
@@ -119,6 +120,15 @@
     }
   }
 
+  /** Runs the task once this connection has closed: at once if it has. A link has one such task. */
+  public void whenClosed(Runnable task) {
+    if (closed) {
+      task.run();
+    } else {
+      closeListener = task;
+    }
+  }
+
   /** Resumes reading after the owner had no capacity. */
   public void resumeReads() {
     if (!closed && !inputEnded) {
@@ -166,6 +176,7 @@
       if (writeBuffer != null) {
         writeBuffer.release(net.ringPool());
       }
+      closeListener.run();
     }
   }
 
--- a/proxy/src/main/java/lemondeal/proxy/ActiveRequests.java
+++ b/proxy/src/main/java/lemondeal/proxy/ActiveRequests.java
@@ -1,8 +1,6 @@
 package lemondeal.proxy;
 
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 
 /**
  * The open requests and connections, by the id under which the module knows them: the slot's handle. A client's own id
@@ -10,7 +8,6 @@
  */
 final class ActiveRequests {
   private final SlotTable<ClientLink> slots;
-  private final Set<String> clientRequestIds = new HashSet<>();
 
   ActiveRequests(int capacity) {
     slots = new SlotTable<>(capacity);
@@ -33,12 +30,7 @@
     return slots.size() == 0;
   }
 
-  boolean isIdInUse(String clientRequestId) {
-    return clientRequestIds.contains(clientRequestId);
-  }
-
   String add(ClientLink client) {
-    clientRequestIds.add(client.clientRequestId());
     return Long.toHexString(slots.add(client));
   }
 
@@ -48,12 +40,7 @@
   }
 
   void remove(String id) {
-    long handle = Long.parseLong(id, 16);
-    ClientLink client = slots.get(handle);
-    if (client != null) {
-      clientRequestIds.remove(client.clientRequestId());
-      slots.remove(handle);
-    }
+    slots.remove(Long.parseLong(id, 16));
   }
 
   List<ClientLink> all() {
--- a/proxy/src/main/java/lemondeal/proxy/AdmissionControl.java
+++ b/proxy/src/main/java/lemondeal/proxy/AdmissionControl.java
@@ -1,5 +1,7 @@
 package lemondeal.proxy;
 
+import lemondeal.codec.OpenLine;
+
 /** Admits requests while a slot is free and the process is not shutting down, and keeps the table of admitted ones. */
 final class AdmissionControl {
   /** Passed in this order; never goes back. */
@@ -13,11 +15,13 @@
   }
 
   private final ActiveRequests requests;
+  private final RequestIds requestIds;
   private State state = State.OPEN;
   private Runnable onEmpty = () -> { };
 
-  AdmissionControl(ActiveRequests requests) {
+  AdmissionControl(ActiveRequests requests, RequestIds requestIds) {
     this.requests = requests;
+    this.requestIds = requestIds;
   }
 
   boolean canAdmit() {
@@ -29,9 +33,9 @@
     return state == State.OPEN;
   }
 
-  /** Whether an admitted request has this client-given id: no other request may use it meanwhile. */
-  boolean isIdInUse(String clientRequestId) {
-    return requests.isIdInUse(clientRequestId);
+  /** Reserves the id in a client's first line, or returns null if another request or another client has it. */
+  RequestIds.Reservation reserveId(OpenLine openLine) {
+    return requestIds.reserve(openLine.id(), openLine.key());
   }
 
   String register(ClientLink client) {
--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -28,6 +28,7 @@
   private final AdmissionControl admission;
   private final Link link;
   private final OpenLine openLine;
+  private final RequestIds.Reservation idReservation;
   private final SessionContinuity continuity;
   private final int requestClass;
   private final RequestRules rules;
@@ -44,11 +45,14 @@
   private boolean admitted;
   private boolean continuityEnded;
 
-  ClientLink(Context context, AdmissionControl admission, Link link, OpenLine openLine, int requestClass) {
+  /** {@code idReservation} is that of the line's id, and is released when the link has closed. */
+  ClientLink(Context context, AdmissionControl admission, Link link, OpenLine openLine,
+      RequestIds.Reservation idReservation, int requestClass) {
     this.context = context;
     this.admission = admission;
     this.link = link;
     this.openLine = openLine;
+    this.idReservation = idReservation;
     this.requestClass = requestClass;
     continuity = context.continuity(openLine);
     rules = new RequestRules(context.config().settings().classes().get(requestClass),
@@ -60,6 +64,7 @@
     long now = context.now();
     long deadline = now + (long) (openLine.deadlineMillis() * MICROS_PER_MILLI);
     id = admission.register(this);
+    link.whenClosed(idReservation::release);
     context.trace().taken(openLine.id(), openLine.value("c"), openLine.deadlineMillis());
     // The client's deadline runs from when it sent the line, so the module gets a slightly earlier one.
     request = new Request(id, deadline - context.limits().clientDeadlineMargin(), requestClass, openLine.key(),
@@ -80,11 +85,6 @@
     context.dispatcher().dispatch(new Arrived(request));
   }
 
-  /** The id that the client gave its request; the module uses a different one. */
-  String clientRequestId() {
-    return openLine.id();
-  }
-
   Link link() {
     return link;
   }
@@ -310,6 +310,7 @@
     rules.answered();
     Timers.cancel(timer);
     admission.unregister(id);
+    idReservation.admitSameClient();
     endContinuity();
   }
 
--- a/proxy/src/main/java/lemondeal/proxy/EndReason.java
+++ b/proxy/src/main/java/lemondeal/proxy/EndReason.java
@@ -24,8 +24,10 @@
   NO_ROOM("no-room"),
   /** This process is shutting down. */
   STOPPING("stopping"),
-  /** The first line was unusable, or its id was in use. */
+  /** The first line was unusable. */
   BAD_FIRST_LINE("bad-first-line"),
+  /** Another request had the id, here or at another process that accepts from the same listening socket. */
+  ID_IN_USE("id-in-use"),
   /** No first line arrived in time. */
   RESTED("rested"),
   /** Newer connections needed the place of a connection without a first line. */
--- a/proxy/src/main/java/lemondeal/proxy/PendingLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/PendingLink.java
@@ -87,14 +87,24 @@
       throw new ProtocolException("unknown class " + openLine.value("c"));
     }
     removeFromPending();
-    if (moreFollows || admission.isIdInUse(openLine.id())) {
-      // A client must wait after its first line, and must not use the id of an open request.
+    if (moreFollows) {
+      // A client must wait after its first line.
       current.answers().sendFailure(link, requestClass, openLine.id(), EndReason.BAD_FIRST_LINE);
+    } else {
+      admit(current, openLine, requestClass);
+    }
+  }
+
+  private void admit(Context current, OpenLine openLine, int requestClass) {
+    RequestIds.Reservation idReservation = admission.reserveId(openLine);
+    if (idReservation == null) {
+      current.answers().sendFailure(link, requestClass, openLine.id(), EndReason.ID_IN_USE);
     } else if (!admission.canAdmit()) {
+      idReservation.release();
       EndReason reason = admission.isOpen() ? EndReason.NO_ROOM : EndReason.STOPPING;
       current.answers().sendBusy(link, requestClass, current.limits().throttleRetryAfter(), openLine.id(), reason);
     } else {
-      new ClientLink(current, admission, link, openLine, requestClass).start();
+      new ClientLink(current, admission, link, openLine, idReservation, requestClass).start();
       pending.trim();
     }
   }
--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -28,6 +28,7 @@
 import lemondeal.net.Timers;
 import lemondeal.resume.SessionContinuity;
 import lemondeal.resume.ResumptionContext;
+import org.xnio.IoUtils;
 import org.xnio.XnioIoThread;
 
 /** One proxy on real sockets: creates and connects its components. */
@@ -40,12 +41,15 @@
   private final RequestTrace trace;
   private final Generations generations;
   private final ActiveRequests requests;
+  private final RequestIds requestIds = new RequestIds();
   private final AdmissionControl admission;
   private final EvictingSet<PendingLink> pendingLinks;
   private final EventLog log;
   private final ResumptionContext resumption;
   private Listener clientListener;
   private Listener adminListener;
+  /** Null unless other processes may accept from the clients' listening socket. */
+  private RequestIdLocks requestIdLocks;
   private boolean accepting;
   private boolean stopping;
   /** Null until a stop is ordered; a further order uses the same one. */
@@ -85,7 +89,7 @@
     violations = new ViolationCounter(log);
     trace = new RequestTrace(log, config.name(), System::currentTimeMillis);
     requests = new ActiveRequests(limits.maxClients());
-    admission = new AdmissionControl(requests);
+    admission = new AdmissionControl(requests, requestIds);
     pendingLinks = new EvictingSet<>(() -> limits.maxPending(requests.freeSlots()), PendingLink::evict);
     generations = new Generations(new Generation.SharedServices(net, wheel, requests, sourceFactory, log, config.name(),
         startTimes, violations, trace,
@@ -103,6 +107,9 @@
     net.runAndWait(() -> {
       Limits limits = config.limits();
       clientListener = net.listen(socket, limits.maxAccepted(), this::clientAccepted);
+      if (config.inheritedSocket()) {
+        shareRequestIds();
+      }
       if (config.admin() != null) {
         AdminEndpoint admin = new AdminEndpoint(limits, this);
         adminListener = net.listen(Listener.bind(config.admin()), limits.maxAdminConnections() + 1, admin::accepted);
@@ -117,6 +124,17 @@
     });
   }
 
+  /** Without the shared ids clients are served all the same, since a client normally uses an id of its own. */
+  private void shareRequestIds() {
+    try {
+      requestIdLocks = RequestIdLocks.open(config.temporaryFolder(), clientListener.address(), log);
+      requestIds.shareBy(requestIdLocks);
+    } catch (IOException e) {
+      log.warn("request-ids-not-shared",
+          "lemondeal: the ids of open requests are not shared with other processes on this socket: " + e);
+    }
+  }
+
   public InetSocketAddress localAddress() {
     return clientListener.address();
   }
@@ -219,12 +237,14 @@
   @Override
   public void close() {
     net.shutdown();
+    IoUtils.safeClose(requestIdLocks);
   }
 
   /** The same; returns when the thread has ended, or after this time. */
   public void awaitClose(long millis) throws InterruptedException {
     net.shutdown();
     net.awaitShutdown(millis);
+    IoUtils.safeClose(requestIdLocks);
   }
 
   // ---- Second address ------------------------------------------------------------------------
--- a/proxy/src/test/java/lemondeal/proxy/ListenerHandoverRaceTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ListenerHandoverRaceTest.java
@@ -25,25 +25,25 @@
   private static final String OPEN_LINE = "OPEN 00000000000000aa k c=chat,d=2000\r\n";
   private static final long TICK = 10_000;
 
-  private static ServerSocketChannel newListener() throws Exception {
+  static ServerSocketChannel newListener() throws Exception {
     return Listener.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
   }
 
   /** A process that has no server list yet and therefore does not accept. */
-  private static ProxyFixture startingProxy(ServerSocketChannel listener) throws IOException {
+  static ProxyFixture startingProxy(ServerSocketChannel listener) throws IOException {
     ProxyFixture fixture = new ProxyFixture(ProxyTest::sendOnce, listener);
     fixture.module.summary = new ServerSummary(false, 0, 0);
     return fixture;
   }
 
   /** A process that reports that it is ready. */
-  private static ProxyFixture readyProxy(ServerSocketChannel listener) throws Exception {
+  static ProxyFixture readyProxy(ServerSocketChannel listener) throws Exception {
     ProxyFixture fixture = new ProxyFixture(ProxyTest::sendOnce, listener);
     becomeReady(fixture);
     return fixture;
   }
 
-  private static void becomeReady(ProxyFixture fixture) throws Exception {
+  static void becomeReady(ProxyFixture fixture) throws Exception {
     fixture.module.summary = new ServerSummary(true, 1, 0);
     fixture.advanceClock(fixture.limits().firstListTimeout() + TICK);
     assertEquals("200 yes", fixture.newAdminClient().send("ready\r\n").readLine());
--- a/proxy/src/test/java/lemondeal/proxy/ProxyFixture.java
+++ b/proxy/src/test/java/lemondeal/proxy/ProxyFixture.java
@@ -43,6 +43,8 @@
 final class ProxyFixture implements AutoCloseable {
   private static final int TIMEOUT_MS = 10_000;
   static final String SERVER = "s-1";
+  /** The temporary folder of proxies that share a listening socket; the build's own, which is emptied with it. */
+  private static final String SHARED_FOLDER = "target";
 
   /** What a test configures differently from the defaults. */
   static final class Options {
@@ -261,6 +263,7 @@
     Map<String, String> environment = new HashMap<>(Map.of("GW_CONFIG", configFile.toString()));
     if (options.sharedListener != null) {
       environment.put("GW_ACCEPT_FD", "0");
+      environment.put("TMPDIR", SHARED_FOLDER);
     }
     config = Config.read(environment);
     proxy = new Proxy(config, module != null ? module : new RecordingBalancer(options.module, events::add),
