Let a client that its server sends away use its id again at once

Seen: a client that reads the MOVE of its draining server, or the end of its server, and connects again at once with the id that it had gets ERR until its old connection has closed, or for 0.5 s.

Cause: the id was released when the tunnel closed, which waits for the client to end its side. The client can be faster: its new connection may go to another process, or be read first.

Change: the same client may use the id again from when the server's final line is forwarded or the end of its connection is passed on. A final line is recorded before it is forwarded, not after.

Tests: two in SharedRequestIdTest, red before (the second request reached no server), green now.

--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -234,6 +234,11 @@
     }
   }
 
+  /** The server is ending the connection: its client may reconnect with the same id as soon as it sees that. */
+  void admitReconnect() {
+    idReservation.admitSameClient();
+  }
+
   /** A server that ends a connection without UP has served the request completely. */
   void servedAtOnce(Execution attempt, String line, LoadReport report) {
     endRequest();
--- a/proxy/src/main/java/lemondeal/proxy/Execution.java
+++ b/proxy/src/main/java/lemondeal/proxy/Execution.java
@@ -212,9 +212,12 @@
     while (bytes.hasRemaining() && state != State.ENDED) {
       String line = lineParser.next(bytes);
       if (line != null) {
-        tunnel.forwardLine(line);
         ServerLine parsed = ServerLine.parse(line);
         recordLastLine(parsed);
+        if (endOutcome() != Outcome.RESET) {
+          client.admitReconnect();
+        }
+        tunnel.forwardLine(line);
         tunnel.onServerLine(parsed);
       }
     }
@@ -274,6 +277,7 @@
   @Override
   public void endOfInput() {
     if (state == State.UP) {
+      client.admitReconnect();
       tunnel.serverEnded();
     } else {
       end(noConnectionUnlessSent(Outcome.RESET), null);
--- a/proxy/src/test/java/lemondeal/proxy/SharedRequestIdTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/SharedRequestIdTest.java
@@ -122,6 +122,28 @@
     }
   }
 
+  /** Guards against refusing a client that its draining server sent away, before its old connection has closed. */
+  @Test
+  void aClientThatItsServerMovedMayUseItsIdAgain() throws Exception {
+    try (ProxyFixture fixture = new ProxyFixture(ProxyTest::sendOnce)) {
+      LineSocket client = fixture.newClient().send(OPEN_LINE);
+      establish(fixture, client).send("MOVE\r\n");
+      assertEquals("MOVE", client.readLine());
+      establish(fixture, fixture.newClient().send(OPEN_LINE));
+    }
+  }
+
+  /** The same after a server that ended without a word. */
+  @Test
+  void aClientWhoseServerEndedMayUseItsIdAgain() throws Exception {
+    try (ProxyFixture fixture = new ProxyFixture(ProxyTest::sendOnce)) {
+      LineSocket client = fixture.newClient().send(OPEN_LINE);
+      establish(fixture, client).close();
+      assertNull(client.readLine());
+      establish(fixture, fixture.newClient().send(OPEN_LINE));
+    }
+  }
+
   /** A request that got its answer or whose client has gone leaves its id free for the other process. */
   @Test
   void theIdOfAnEndedRequestIsFreeAtTheOtherProcess() throws Throwable {
