Let the verdict read entries of soak seeds and review scripts, in the operators' form

Need: KNOWN-RED.txt lists test, command and seed, what was seen and issue; the verdict knew Class#method, cause and issue alone, so that a fault that a soak seed or a script below review/ shows could not be listed.

Change: one form for all, `TEST; command: ...; seed: ...; seen: ...; issue N`. A test method is judged as before: red in this run, or the run fails. A soak seed and a script are printed; the soak's command has to carry the seed and the Makefile the target, the script has to be an executable file below review/ and its own command. Three entries at most, no test is excused by them. The old form, which lacks command and seed, is refused.

--- a/.ci/verdict_test.py
+++ b/.ci/verdict_test.py
@@ -9,7 +9,10 @@
 VERDICT = Path(__file__).with_name("verdict")
 GREEN = '<testcase name="works" classname="a.OneTest" time="0.1"/>'
 RED = '<testcase name="fails" classname="a.OneTest"><failure message="no">at</failure></testcase>'
-LISTED = "a.OneTest#fails; the server's side stays open; issue 27\n"
+LISTED = ("a.OneTest#fails; command: mvn -pl m test -Dtest=OneTest; seed: none; seen: the server's side stays open; "
+          "issue 27\n")
+SOAK = 'soak; command: make soak SOAK="--from 731001 --seeds 1"; seed: 731001; seen: one attempt too many; issue 28\n'
+SCRIPT = "review/7/run.sh; command: review/7/run.sh; seed: none; seen: 3 of 5 runs lost a request; issue 29\n"
 
 
 class VerdictTest(unittest.TestCase):
@@ -65,7 +68,7 @@
     def test_red_and_not_listed(self):
         self.report("m", "a.OneTest", GREEN, RED)
         self.assert_failed("red: a.OneTest#fails")
-        self.known("a.OneTest#works; cause; issue\n")
+        self.known(LISTED.replace("fails", "works"))
         self.assert_failed("red: a.OneTest#fails")
 
     def test_an_error_is_red(self):
@@ -78,7 +81,7 @@
 
     def test_a_class_that_failed_as_a_whole_is_red_and_cannot_be_listed(self):
         self.report("m", "a.OneTest", '<testcase name="" classname="a.OneTest"><error>at</error></testcase>')
-        self.known("a.OneTest#; cause; issue\n")
+        self.known(LISTED.replace("fails", ""))
         self.assert_failed("red: a.OneTest#")
 
     def test_red_and_listed(self):
@@ -119,12 +122,93 @@
 
     def test_lines_that_lack_something_or_come_twice(self):
         self.report("m", "a.OneTest", RED)
-        for line in ("a.OneTest#fails", "a.OneTest#fails; cause", "a.OneTest; cause; issue", "a.OneTest#fails; ; 27"):
+        fields = LISTED.strip().split("; ")
+        shortened = ["; ".join(fields[:i] + fields[i + 1:]) for i in range(len(fields))]
+        emptied = ["; ".join(fields[:i] + [""] + fields[i + 1:]) for i in range(len(fields))]
+        unlabelled = [LISTED.replace(label, "") for label in ("command: ", "seed: ", "seen: ", "issue ")]
+        without_content = [LISTED.replace(text, " ") for text in (fields[1][9:], fields[2][6:], fields[3][6:], "27")]
+        old_form = ["a.OneTest#fails", "a.OneTest#fails; cause", "a.OneTest#fails; cause; issue 27"]
+        others = [LISTED.replace("#fails", ""), LISTED.strip() + "; more", LISTED.replace("27", "none")]
+        for line in shortened + emptied + unlabelled + without_content + old_form + others:
             self.known(line)
             self.assert_failed("should have")
         self.known(LISTED * 2)
         self.assert_failed("twice")
 
+    def soak_and_script(self):
+        """What entries of a soak and of a script name."""
+        (self.root / "Makefile").write_text("SOAK = --from 1\nsoak: lab\n\ttrue\n")
+        script = self.root / "review/7/run.sh"
+        script.parent.mkdir(parents=True)
+        script.write_text("#!/bin/sh\n")
+        script.chmod(0o755)
+        return script
+
+    def test_a_soak_seed_and_a_script_are_printed_and_not_run(self):
+        self.soak_and_script()
+        self.known(SOAK + SOAK.replace("731001", "731002") + SCRIPT)
+        said = self.assert_passed()
+        for line in (SOAK, SCRIPT):
+            self.assertIn("known red: " + line.strip(), said)
+        self.assertIn("not run: soak 731001", said)
+        self.assertIn("not run: review/7/run.sh", said)
+
+    def test_they_excuse_no_red_test(self):
+        self.soak_and_script()
+        self.known(SOAK + SCRIPT)
+        self.report("m", "a.OneTest", GREEN, RED)
+        self.assert_failed("red: a.OneTest#fails")
+
+    def test_they_count_among_the_three(self):
+        self.soak_and_script()
+        self.report("m", "a.OneTest", GREEN, RED)
+        self.known(LISTED + SOAK + SCRIPT)
+        self.assert_passed()
+        self.known(LISTED + SOAK + SOAK.replace("731001", "731002") + SCRIPT)
+        self.assert_failed("KNOWN-RED.txt has 4 lines")
+
+    def test_a_soak_without_its_seed(self):
+        self.soak_and_script()
+        for line in (SOAK.replace("seed: 731001", "seed: none"), SOAK.replace("--from 731001", "--from 73100"),
+                     SOAK.replace("make soak", "make test"), SOAK.replace("seed: 731001", "seed: 1")):
+            self.known(line)
+            self.assert_failed("should have")
+        self.known(SOAK * 2)
+        self.assert_failed("twice")
+
+    def test_a_soak_without_its_target(self):
+        self.known(SOAK)
+        self.assert_failed("Makefile has no target soak")
+        (self.root / "Makefile").write_text("test:\n\ttrue\n")
+        self.assert_failed("Makefile has no target soak")
+
+    def test_a_script_that_is_missing_or_cannot_be_run(self):
+        self.known(SCRIPT)
+        self.assert_failed("no such script: review/7/run.sh")
+        script = self.soak_and_script()
+        script.chmod(0o644)
+        self.assert_failed("no such script: review/7/run.sh")
+        script.unlink()
+        script.mkdir()
+        self.assert_failed("no such script: review/7/run.sh")
+
+    def test_a_script_elsewhere_or_of_another_command(self):
+        self.soak_and_script()
+        for line in (SCRIPT.replace("review/7/run.sh", "review/../review/7/run.sh"),
+                     SCRIPT.replace("review/7/run.sh", "elsewhere/run.sh"),
+                     SCRIPT.replace("review/7/run.sh", "/review/7/run.sh"),
+                     SCRIPT.replace("command: review/7/run.sh", "command: true"),
+                     SCRIPT.replace("3 of 5 runs lost a request", "")):
+            self.known(line)
+            self.assert_failed("should have")
+        self.known(SCRIPT * 2)
+        self.assert_failed("twice")
+
+    def test_what_was_seen_may_say_how_often(self):
+        self.soak_and_script()
+        self.known(SCRIPT.replace("seen: 3 of 5 runs", "seen in 3 of 5 runs:"))
+        self.assert_passed()
+
     def test_no_reports(self):
         for file in self.root.glob("*/target/surefire-reports/*"):
             file.unlink()
