--- a/proxy/src/main/java/lemondeal/operator/ConsulSection.java
+++ b/proxy/src/main/java/lemondeal/operator/ConsulSection.java
@@ -146,10 +146,7 @@
         new Damping.Settings(millis(damping, PATH + ".damping", "quiet", defaults.initialQuiet()),
             millis(damping, PATH + ".damping", "most", defaults.maxQuiet()),
             millis(damping, PATH + ".damping", "forget", defaults.forgetFlapsAfter()));
-    if (settings.maxQuiet() < settings.initialQuiet()) {
-      faults.accept(PATH + ".damping.most: found " + settings.maxQuiet() + " ms; allowed: at least quiet, "
-          + settings.initialQuiet() + " ms");
-    }
+    checkMost(PATH + ".damping", settings.maxQuiet(), "quiet", settings.initialQuiet());
     return settings;
   }
 
@@ -169,13 +166,18 @@
         new PollBackoff.Settings(millis(pace, PATH + ".pace", "least", defaults.minInterval()),
             millis(pace, PATH + ".pace", "first", defaults.initialBackoff()),
             millis(pace, PATH + ".pace", "most", defaults.maxBackoff()));
-    if (settings.maxBackoff() < settings.initialBackoff()) {
-      faults.accept(PATH + ".pace.most: found " + settings.maxBackoff() + " ms; allowed: at least first, "
-          + settings.initialBackoff() + " ms");
-    }
+    checkMost(PATH + ".pace", settings.maxBackoff(), "first", settings.initialBackoff());
     return settings;
   }
 
+  /** Reports a section's {@code most} that is under its first interval, which is named {@code firstKey}. */
+  private void checkMost(String path, long mostMillis, String firstKey, long firstMillis) {
+    if (mostMillis < firstMillis) {
+      faults.accept(path + ".most: found " + mostMillis + " ms; allowed: at least " + firstKey + ", " + firstMillis
+          + " ms");
+    }
+  }
+
   private long millis(JsonNode section, String path, String key, long defaultMillis) {
     return Durations.millis(section, path, key, defaultMillis, faults);
   }
--- a/proxy/src/main/java/lemondeal/proxy/RequestIdLocks.java
+++ b/proxy/src/main/java/lemondeal/proxy/RequestIdLocks.java
@@ -14,13 +14,13 @@
 import lemondeal.log.EventLog;
 
 /**
- * Locks on the ids of requests, shared by all processes that accept clients from one listening socket. During an upgrade
- * two processes serve clients at the same time.
+ * Locks on the ids of requests, shared by all processes that accept clients from one listening socket. During an
+ * upgrade two processes serve clients at the same time.
  *
  * <p>A lock is a POSIX record lock (fcntl(2), F_SETLK) on one byte of a file in the temporary folder. Nothing is
- * written, so the file stays empty. The kernel grants each lock to one process, and releases the locks of a process that
- * ends, however it ends. A process that hangs keeps its locks as it keeps its connections. No call waits for another
- * process.
+ * written, so the file stays empty. The kernel grants each lock to one process, and releases the locks of a process
+ * that ends, however it ends. A process that hangs keeps its locks as it keeps its connections. No call waits for
+ * another process.
  *
  * <p>The file is never deleted: a process that has the deleted file open and one that creates it again would not see
  * each other's locks. For use on the I/O thread, except {@link #close}.
@@ -72,8 +72,8 @@
     }
 
     /**
-     * Lets the same client lock the id again, here or elsewhere. Another ending request of the same client keeps its own
-     * locks; this one then has none.
+     * Lets the same client lock the id again, here or elsewhere. If another request of the same client with this id
+     * is still ending, that one's locks stand for both.
      */
     void admitSameClient() {
       ending = tryLockByte(offset(Kind.ENDING, id));
