Give each proxy of the fleet tests a loopback host of its own

Change: UnusedAddress, which the soak had for itself, finds a port on a host that nobody else uses; FleetTestCluster takes 127.9.0.n for each proxy.

The rare failure itself was not seen again, nor provoked.

--- a/lab/src/main/java/lemondeal/lab/site/FleetTestCluster.java
+++ b/lab/src/main/java/lemondeal/lab/site/FleetTestCluster.java
@@ -2,16 +2,16 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.stream.Stream;
+import lemondeal.config.Addresses;
 import lemondeal.lab.ProxyProcess;
+import lemondeal.lab.UnusedAddress;
 
 /**
  * A fleet of real proxies on loopback that exchange reports, with a {@link Relay} in each direction of each pair. A
@@ -19,6 +19,8 @@
  * stops all of them and deletes their files.
  */
 public final class FleetTestCluster implements AutoCloseable {
+  /** The loopback network in which each proxy has a host of its own for the fleet's messages. */
+  private static final String PROXY_NETWORK = "127.9.0.";
   private static final String VISIBILITY_EVENT = "\"event\":\"fleet-sight\"";
 
   private final Path folder;
@@ -44,13 +46,8 @@
     folder = Files.createTempDirectory("lemondeal-fleet");
     relays = new Relay[count][count];
     proxies = new ProxyProcess[count];
-    List<ServerSocket> reservedSockets = new ArrayList<>();
     for (int i = 0; i < count; i++) {
-      reservedSockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
-      listenAddresses.add((InetSocketAddress) reservedSockets.get(i).getLocalSocketAddress());
-    }
-    for (ServerSocket socket : reservedSockets) {
-      socket.close();
+      listenAddresses.add(UnusedAddress.on(PROXY_NETWORK + (i + 1)));
     }
     for (int from = 0; from < count; from++) {
       for (int to = 0; to < count; to++) {
@@ -96,8 +93,8 @@
     StringBuilder members = new StringBuilder();
     for (int other = 0; other < count; other++) {
       InetSocketAddress address = other == i ? listenAddresses.get(i) : relays[i][other].address();
-      members.append("    - {name: %s, zone: %s, address: '127.0.0.1:%d'}\n".formatted(proxyName(other),
-          other % 2 == 0 ? "a" : "b", address.getPort()));
+      members.append("    - {name: %s, zone: %s, address: '%s'}\n".formatted(proxyName(other),
+          other % 2 == 0 ? "a" : "b", Addresses.format(address)));
     }
     return Files.writeString(folder.resolve("operator-" + i + ".yaml"),
         "version: 1\nlog: {format: json}\nfleet:\n  members:\n" + members
--- a/lab/src/main/java/lemondeal/lab/soak/SoakProxy.java
+++ b/lab/src/main/java/lemondeal/lab/soak/SoakProxy.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -16,6 +15,7 @@
 import java.util.regex.Pattern;
 import lemondeal.lab.LineConnection;
 import lemondeal.lab.ProxyProcess;
+import lemondeal.lab.UnusedAddress;
 
 /**
  * One proxy of a soak. Its process may be restarted any number of times at the same address; each started process is an
@@ -89,19 +89,12 @@
     logFile = folder.resolve("proxy-" + number + ".log");
     // A log of an earlier soak with the same seed may exist.
     Files.deleteIfExists(logFile);
-    address = freeAddress(number);
+    // Its own loopback address, so that no other socket gets its port while the process is down.
+    address = UnusedAddress.on(PROXY_NETWORK + (number + 1));
     discoveryEndpoints.add(new DiscoveryEndpoint(listing, drainChecker, number));
     discoveryEndpoints.add(new DiscoveryEndpoint(listing, drainChecker, number));
   }
 
-  /** Each proxy has its own loopback address, so that no other socket gets its port while the process is down. */
-  private static InetSocketAddress freeAddress(int number) throws IOException {
-    InetAddress loopbackAddress = InetAddress.getByName(PROXY_NETWORK + (number + 1));
-    try (ServerSocket socket = new ServerSocket(0, 1, loopbackAddress)) {
-      return (InetSocketAddress) socket.getLocalSocketAddress();
-    }
-  }
-
   int number() {
     return number;
   }
