Look up dlsym by the version of each architecture in the fault injection library

On arm64 each process started with the library crashed at once: it looked up dlsym under the version by which glibc exports it on x86-64, GLIBC_2.2.5, and called the null pointer that it got. The version is now a named constant for each of the two architectures, GLIBC_2.17 on arm64, and another architecture is a compile error. Where the look-up fails all the same, the library says so in one line on standard error and ends the process with 127.

Run on arm64: FaultSoakTest, FailingDiskTest, ConsulClockStepTest, SystemCallsTest and ClockStepTest, 21 tests as they are, all pass. A copy with a version that does not exist printed the line and ended a JVM with 127. On x86-64 the constant is the one that stood there; nothing was run there.

--- a/lab/src/main/resources/lemondeal/lab/soak/fault_shim.c
+++ b/lab/src/main/resources/lemondeal/lab/soak/fault_shim.c
@@ -17,6 +17,7 @@
 #include <sys/mman.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/syscall.h>
 #include <sys/time.h>
 #include <sys/uio.h>
 #include <time.h>
@@ -43,12 +44,32 @@
 static struct control nothing;
 static volatile struct control *control = &nothing;
 
+/* The version under which glibc exports dlsym: that of its first release for the architecture. */
+#if defined(__x86_64__)
+#define DLSYM_VERSION "GLIBC_2.2.5"
+#elif defined(__aarch64__)
+#define DLSYM_VERSION "GLIBC_2.17"
+#else
+#error "the version of dlsym is not known for this architecture"
+#endif
+
 static void *(*real_dlsym)(void *, const char *);
 
-static void *real(const char *name) {
+static void find_real_dlsym(void) {
+  if (real_dlsym != NULL) {
+    return;
+  }
+  real_dlsym = (void *(*)(void *, const char *)) dlvsym(RTLD_NEXT, "dlsym", DLSYM_VERSION);
   if (real_dlsym == NULL) {
-    real_dlsym = (void *(*)(void *, const char *)) dlvsym(RTLD_NEXT, "dlsym", "GLIBC_2.2.5");
+    /* Without stdio or write: this library replaces write, and finds the real one with dlsym. */
+    static const char message[] = "fault_shim: the C library has no dlsym of version " DLSYM_VERSION "\n";
+    syscall(SYS_write, STDERR_FILENO, message, sizeof(message) - 1);
+    _exit(127);
   }
+}
+
+static void *real(const char *name) {
+  find_real_dlsym();
   return real_dlsym(RTLD_NEXT, name);
 }
 
@@ -144,9 +165,7 @@
   if (strcmp(name, "clock_gettime") == 0) {
     return (void *) clock_gettime;
   }
-  if (real_dlsym == NULL) {
-    real_dlsym = (void *(*)(void *, const char *)) dlvsym(RTLD_NEXT, "dlsym", "GLIBC_2.2.5");
-  }
+  find_real_dlsym();
   return real_dlsym(handle, name);
 }
 
