--- a/review/standins2/ConsulReturns.java
+++ b/review/standins2/ConsulReturns.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /**
- * Servers from Consul, read by three proxies. Consul is down for 20 s; two of four servers become critical meanwhile,
+ * Servers from Consul, read by four proxies. Consul is down for 20 s; two of four servers become critical meanwhile,
  * which it tells whoever asks once it is back.
  */
 final class ConsulReturns {
@@ -12,7 +12,7 @@
   /** STANDING: a change counts as told at the latest so long after discovery had it and could be reached. */
   private static final long TOLD_AFTER_MILLIS = 6000;
   private static final long DRAIN_GRACE_MILLIS = 1000;
-  private static final int PROXIES = 3;
+  private static final int PROXIES = 4;
 
   public static void main(String[] arguments) {
     Rig.main(arguments, ConsulReturns::run);
