--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# The Consul agent that is asked falls silent, and one of four servers becomes critical.
+# The Consul agent that is asked falls silent, and two of four servers become critical.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -f proxy/target/lemondeal.jar ] || [ ! -d review/standins2/target ]; then
--- a/review/standins2/SilentAgent.java
+++ b/review/standins2/SilentAgent.java
@@ -3,8 +3,8 @@
 import java.util.Map;
 
 /**
- * Servers from Consul with two agents. The agent that is asked falls silent under a blocking query; a second later one
- * of four servers becomes critical, which the other agent would tell at once.
+ * Servers from Consul with two agents. The agent that is asked falls silent under a blocking query; a second later two
+ * of four servers become critical, which the other agent would tell at once.
  */
 final class SilentAgent {
   /** Of the blocking query, as CONSUL.md's example has it. */
@@ -41,7 +41,7 @@
       first.fallSilent();
     }
     rig.sleepUntil(rig.now() + 1000);
-    List<LinkServer> draining = servers.subList(0, 1);
+    List<LinkServer> draining = servers.subList(0, 2);
     long index = consul.setStatus("critical", draining);
     // A long poll: what a silent watch misses counts as told 2 s after its wait is over. Consul may lengthen the wait
     // by a sixteenth, which is allowed for.
