--- /dev/null
+++ b/review/standins2/BusyTalkers.java
@@ -0,0 +1,135 @@
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Bad clients that are up send short commands at full speed, read what they are sent, and come again as soon as they are
+ * turned away; usual clients come meanwhile. Without trouble the same clients send a command every two seconds.
+ */
+final class BusyTalkers {
+  private static final int TALKERS = 120;
+  private static final long TALK_MILLIS = 25_000;
+  private static final int COMMANDS_AT_ONCE = 500;
+
+  public static void main(String[] arguments) {
+    Rig.main(arguments, BusyTalkers::run);
+  }
+
+  private static int run(Rig rig) throws Exception {
+    Discovery discovery = new Discovery(rig);
+    for (int i = 1; i <= 10; i++) {
+      discovery.put(new LinkServer(rig, "s-" + i), "hobart", "in_service");
+    }
+    Rig.Proxy proxy = rig.startProxy(Map.of(
+        "GW_CONFIG", rig.write("config.json", Site.config(discovery.address(), "")).toString()));
+    if (proxy.awaitLine("lemondeal: ready", 15_000) == null) {
+      rig.say("could not run: the proxy was not ready");
+      return Rig.NOT_RUN;
+    }
+    Clients usual = new Clients(rig, proxy.port);
+    usual.start(150, 3000);
+    List<Socket> talkers = new ArrayList<>();
+    for (int i = 0; i < TALKERS; i++) {
+      rig.sleepUntil(rig.now() + 30);
+      Socket talker = connect(rig, proxy.port);
+      if (talker != null) {
+        talkers.add(talker);
+      }
+    }
+    rig.say(talkers.size() + " talkers are up; so far " + usual.summary());
+    if (talkers.size() < TALKERS / 2 || usual.unanswered.get() > 0) {
+      rig.say("could not run: the talkers were not up, or a usual client was not answered before they talked");
+      return Rig.NOT_RUN;
+    }
+    AtomicLong commands = new AtomicLong();
+    AtomicInteger moved = new AtomicInteger();
+    double end = rig.now() + TALK_MILLIS;
+    talkers.forEach(talker -> Rig.daemon(() -> stay(rig, proxy.port, talker, end, commands, moved)));
+    rig.sleepUntil(end);
+    usual.end();
+    rig.sleepUntil(rig.now() + 6000);
+    rig.say(commands + " commands were sent, " + moved + " times a talker was moved or ended");
+    rig.say("usual " + usual.summary());
+    return Verdicts.answered(rig, proxy, usual);
+  }
+
+  /** Talks and listens until the connection ends, and comes again as soon as it is turned away. */
+  private static void stay(Rig rig, int port, Socket first, double end, AtomicLong commands, AtomicInteger moved) {
+    Socket socket = first;
+    while (rig.now() < end) {
+      try {
+        if (socket != null) {
+          Socket talker = socket;
+          Rig.daemon(() -> talk(rig, talker, commands));
+          listen(talker, moved);
+        }
+        Thread.sleep(100);
+        socket = rig.now() < end ? connect(rig, port) : null;
+      } catch (IOException e) {
+        socket = null;
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  /** An ordinary client up to its UP; null if it is turned away. */
+  private static Socket connect(Rig rig, int port) throws IOException {
+    ThreadLocalRandom random = ThreadLocalRandom.current();
+    Socket socket = new Socket(InetAddress.getByAddress(new byte[] {127, 0, 0, 1}), port);
+    socket.setSoTimeout(5000);
+    String open = String.format("OPEN %016x %016x c=menu-feed,d=2000,g=%016x", random.nextLong(), random.nextLong(),
+        random.nextLong());
+    rig.note("sent: " + open);
+    socket.getOutputStream().write((open + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
+    byte[] answer = new byte[64];
+    int length = Math.max(0, socket.getInputStream().read(answer));
+    String line = new String(answer, 0, length, StandardCharsets.ISO_8859_1).strip();
+    rig.note("answered: " + open.split(" ")[1] + " " + line);
+    if (line.startsWith("UP ")) {
+      socket.setSoTimeout(0);
+      return socket;
+    }
+    socket.close();
+    return null;
+  }
+
+  private static void talk(Rig rig, Socket socket, AtomicLong commands) {
+    byte[] some = "hi\r\n".repeat(rig.trouble ? COMMANDS_AT_ONCE : 1).getBytes(StandardCharsets.ISO_8859_1);
+    try {
+      while (true) {
+        socket.getOutputStream().write(some);
+        commands.addAndGet(rig.trouble ? COMMANDS_AT_ONCE : 1);
+        if (!rig.trouble) {
+          Thread.sleep(2000);
+        }
+      }
+    } catch (IOException e) {
+      // The connection was moved or has ended.
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void listen(Socket socket, AtomicInteger moved) {
+    byte[] bytes = new byte[65_536];
+    try (socket) {
+      InputStream in = socket.getInputStream();
+      while (in.read(bytes) >= 0) {
+        continue;
+      }
+    } catch (IOException e) {
+      // The connection has ended.
+    }
+    moved.incrementAndGet();
+  }
+}
