Let a second proxy beside cases 6 and 7 show that the machine is not to blame

A proxy of the same settings, with usual clients and no bad ones, runs beside the one under test; if a request there is unanswered the case could not run.

--- a/review/standins2/BusyCallers.java
+++ b/review/standins2/BusyCallers.java
@@ -2,7 +2,6 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -20,21 +19,9 @@
   }
 
   private static int run(Rig rig) throws Exception {
-    Discovery discovery = new Discovery(rig);
-    for (int i = 1; i <= 10; i++) {
-      discovery.put(new LinkServer(rig, "s-" + i), "hobart", "in_service");
-    }
-    Rig.Proxy proxy = rig.startProxy(Map.of(
-        "GW_CONFIG", rig.write("config.json", Site.config(discovery.address(), "")).toString()));
-    if (proxy.awaitLine("lemondeal: ready", 15_000) == null) {
-      rig.say("could not run: the proxy was not ready");
-      return Rig.NOT_RUN;
-    }
-    Clients usual = new Clients(rig, proxy.port);
-    usual.start(150, 3000);
+    Exchange exchange = new Exchange(rig);
     rig.sleepUntil(rig.now() + 6000);
-    rig.say("before the callers: " + usual.summary());
-    if (usual.unanswered.get() > 0 || usual.up.get() == 0) {
+    if (!exchange.isSound()) {
       rig.say("could not run: a usual client was not answered before");
       return Rig.NOT_RUN;
     }
@@ -42,14 +29,12 @@
     AtomicInteger connections = new AtomicInteger();
     double end = rig.now() + CALL_MILLIS;
     for (int i = 0; i < CALLERS; i++) {
-      Rig.daemon(() -> call(rig, proxy.port, end, commands, connections));
+      Rig.daemon(() -> call(rig, exchange.proxy.port, end, commands, connections));
     }
     rig.sleepUntil(end);
-    usual.end();
-    rig.sleepUntil(rig.now() + 6000);
+    int verdict = exchange.verdict();
     rig.say(commands + " times PING on " + connections + " connections");
-    rig.say("usual " + usual.summary());
-    return Verdicts.answered(rig, proxy, usual);
+    return verdict;
   }
 
   /** One bad client, with one connection at a time. */
--- a/review/standins2/BusyTalkers.java
+++ b/review/standins2/BusyTalkers.java
@@ -5,7 +5,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -24,41 +23,28 @@
   }
 
   private static int run(Rig rig) throws Exception {
-    Discovery discovery = new Discovery(rig);
-    for (int i = 1; i <= 10; i++) {
-      discovery.put(new LinkServer(rig, "s-" + i), "hobart", "in_service");
-    }
-    Rig.Proxy proxy = rig.startProxy(Map.of(
-        "GW_CONFIG", rig.write("config.json", Site.config(discovery.address(), "")).toString()));
-    if (proxy.awaitLine("lemondeal: ready", 15_000) == null) {
-      rig.say("could not run: the proxy was not ready");
-      return Rig.NOT_RUN;
-    }
-    Clients usual = new Clients(rig, proxy.port);
-    usual.start(150, 3000);
+    Exchange exchange = new Exchange(rig);
     List<Socket> talkers = new ArrayList<>();
     for (int i = 0; i < TALKERS; i++) {
       rig.sleepUntil(rig.now() + 30);
-      Socket talker = connect(rig, proxy.port);
+      Socket talker = connect(rig, exchange.proxy.port);
       if (talker != null) {
         talkers.add(talker);
       }
     }
-    rig.say(talkers.size() + " talkers are up; so far " + usual.summary());
-    if (talkers.size() < TALKERS / 2 || usual.unanswered.get() > 0) {
+    rig.say(talkers.size() + " talkers are up");
+    if (talkers.size() < TALKERS / 2 || !exchange.isSound()) {
       rig.say("could not run: the talkers were not up, or a usual client was not answered before they talked");
       return Rig.NOT_RUN;
     }
     AtomicLong commands = new AtomicLong();
     AtomicInteger moved = new AtomicInteger();
     double end = rig.now() + TALK_MILLIS;
-    talkers.forEach(talker -> Rig.daemon(() -> stay(rig, proxy.port, talker, end, commands, moved)));
+    talkers.forEach(talker -> Rig.daemon(() -> stay(rig, exchange.proxy.port, talker, end, commands, moved)));
     rig.sleepUntil(end);
-    usual.end();
-    rig.sleepUntil(rig.now() + 6000);
+    int verdict = exchange.verdict();
     rig.say(commands + " commands were sent, " + moved + " times a talker was moved or ended");
-    rig.say("usual " + usual.summary());
-    return Verdicts.answered(rig, proxy, usual);
+    return verdict;
   }
 
   /** Talks and listens until the connection ends, and comes again as soon as it is turned away. */
--- a/review/standins2/Verdicts.java
+++ b/review/standins2/Verdicts.java
@@ -4,20 +4,6 @@
 final class Verdicts {
   private Verdicts() {}
 
-  /** Whether every usual request got a line in time. */
-  static int answered(Rig rig, Rig.Proxy proxy, Clients usual) {
-    if (!proxy.isAlive()) {
-      rig.say("broken: the proxy has ended");
-      return Rig.BROKEN;
-    }
-    if (usual.unanswered.get() > 0) {
-      rig.say("broken: " + usual.unanswered + " usual requests got no answer by 0.6 s after their time");
-      return Rig.BROKEN;
-    }
-    rig.say("held: every usual request was answered");
-    return Rig.HELD;
-  }
-
   /** Whether no OPEN came to these servers after the last moment in which it was allowed. */
   static int drained(Rig rig, List<LinkServer> servers, double lastAllowed, Clients clients) {
     if (clients.up.get() == 0 || servers.stream().allMatch(server -> server.opens().isEmpty())) {
