--- a/review/standins2/LinkServer.java
+++ b/review/standins2/LinkServer.java
@@ -27,6 +27,7 @@
   private final AtomicInteger held = new AtomicInteger();
   /** The connections that are up, by their request's id. */
   private final Map<String, Socket> standing = new ConcurrentHashMap<>();
+  private volatile boolean draining;
   private final Set<String> cutOff = ConcurrentHashMap.newKeySet();
 
   LinkServer(Rig rig, String id) throws IOException {
@@ -51,6 +52,16 @@
     return Set.copyOf(cutOff);
   }
 
+  /** The server drains: it sends all its clients away at once and turns away what is new. */
+  void drain() throws IOException {
+    draining = true;
+    rig.note("server " + id + " drains and sends " + standing.size() + " clients away");
+    for (Socket connection : standing.values()) {
+      connection.getOutputStream().write("MOVE\r\n".getBytes(StandardCharsets.ISO_8859_1));
+      connection.shutdownOutput();
+    }
+  }
+
   /** The server stops, as one does some time after its drain began: what is left on it is cut off. */
   void stop() throws IOException {
     rig.note("server " + id + " stops with " + standing.size() + " connections");
@@ -91,11 +102,16 @@
           held.incrementAndGet();
           request = line.split(" ")[1];
           Open open = new Open(id, request, rig.now());
-          standing.put(request, accepted);
           synchronized (opens) {
             opens.add(open);
           }
           rig.note("run: " + id + " " + line);
+          if (draining) {
+            send(out, "BUSY");
+            out.flush();
+            return;
+          }
+          standing.put(request, accepted);
           send(out, "UP r" + RECEIPTS.incrementAndGet());
         } else {
           send(out, "ok");
