--- a/proxy/src/main/java/lemondeal/Balancer.java
+++ b/proxy/src/main/java/lemondeal/Balancer.java
@@ -86,6 +86,17 @@
     }
   }
 
+  /**
+   * Until when requests may be sent by the held list of a pool, on the caller's clock: later, servers that it has as
+   * ready may have been draining for too long. A server that has accepted a request may still get others until
+   * {@code afterAcceptance} after that was sent. Without such an event the list may always be used, as with
+   * {@link #UNLIMITED}.
+   */
+  record ListValidity(int pool, long until, long afterAcceptance) implements Event {
+    /** Value of {@code until} that sets no limit. */
+    public static final long UNLIMITED = Long.MAX_VALUE;
+  }
+
   /** {@code key}, {@code group}: null if absent. {@code cost}: hint of the usual load, NaN if absent. */
   record Request(String id, long due, int requestClass, String key, String group, double cost,
       boolean midFlow, boolean returned, int tenant, boolean clientRetry) {}
--- a/proxy/src/main/java/lemondeal/PoolRouter.java
+++ b/proxy/src/main/java/lemondeal/PoolRouter.java
@@ -80,6 +80,8 @@
       return track(e.request(), true);
     } else if (event instanceof ServerList e) {
       return applyList(e);
+    } else if (event instanceof ListValidity e) {
+      return e.pool();
     } else if (event instanceof Established e) {
       return findPool(e.id(), e.server());
     } else if (event instanceof Ended e) {
--- a/proxy/src/main/java/lemondeal/consul/ConsulServices.java
+++ b/proxy/src/main/java/lemondeal/consul/ConsulServices.java
@@ -8,6 +8,7 @@
 import lemondeal.config.Config;
 import lemondeal.config.ConfigException;
 import lemondeal.discovery.ListSource;
+import lemondeal.discovery.clock.ListClock;
 import lemondeal.log.EventLog;
 
 /**
@@ -61,6 +62,16 @@
     sources.forEach(ConsulSource::fetch);
   }
 
+  @Override
+  public int poolCount() {
+    return sources.size();
+  }
+
+  @Override
+  public ListClock.Validity validity(int pool) {
+    return sources.get(pool).validity(pool);
+  }
+
   @Override
   public void reconfigure(Config newConfig) {
     sources.forEach(source -> source.reconfigure(newConfig));
--- a/proxy/src/main/java/lemondeal/consul/ConsulSource.java
+++ b/proxy/src/main/java/lemondeal/consul/ConsulSource.java
@@ -16,6 +16,7 @@
 import lemondeal.config.Config;
 import lemondeal.discovery.HostGroup;
 import lemondeal.discovery.ListSource;
+import lemondeal.discovery.clock.ListClock;
 import lemondeal.log.EventLog;
 import lemondeal.membership.PollBackoff;
 import lemondeal.membership.ListGuard;
@@ -118,6 +119,12 @@
     }
   }
 
+  /** No limit: while Consul can't be reached or believed, the held list stays in use. */
+  @Override
+  public ListClock.Validity validity(int pool) {
+    return ListClock.Validity.UNLIMITED;
+  }
+
   /**
    * No effect: the platform's configuration has no Consul settings. Those are in the operator's file and are applied by
    * {@link #reload}.
--- a/proxy/src/main/java/lemondeal/discovery/Call.java
+++ b/proxy/src/main/java/lemondeal/discovery/Call.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import lemondeal.codec.HttpParser;
 import lemondeal.codec.Json;
 import lemondeal.codec.JsonObjectAssembler;
@@ -33,6 +34,7 @@
   }
 
   private static final int OK = 200;
+  private static final int SERVICE_UNAVAILABLE = 503;
 
   private final Timers timers;
   private final Limits limits;
@@ -46,7 +48,9 @@
   private final JsonObjectAssembler objects;
   private Dial dial;
   private Link link;
+  private long connectedAt;
   private Timers.Timer silenceTimer;
+  private Timers.Timer queueTimer;
   private long silenceDeadline;
   private long baseVersion;
   private boolean listReceived;
@@ -80,12 +84,20 @@
     updateSilenceTimer();
     dial = net.dial(address, limits.discoveryConnectTimeout(), opened -> {
       link = opened;
-      clock.discoveryReachable(timers.now());
+      connectedAt = timers.now();
+      queueTimer = timers.after(ListClock.MIN_QUEUE_WAIT, this::onQueued);
       link.start(this);
       link.send(request);
     }, this::onUnreachable);
   }
 
+  /** Discovery has accepted the call and keeps it waiting: it works, however crowded it is. */
+  private void onQueued() {
+    if (!finished) {
+      clock.discoveryReachable(timers.now());
+    }
+  }
+
   boolean isFinished() {
     return finished;
   }
@@ -94,6 +106,7 @@
   void stop() {
     finished = true;
     Timers.cancel(silenceTimer);
+    Timers.cancel(queueTimer);
     if (dial != null) {
       dial.cancel();
     }
@@ -121,15 +134,26 @@
   }
 
   private void onUnreachable() {
-    if (!finished) {
-      clock.discoveryUnreachable(timers.now());
+    fail(clock::discoveryUnreachable);
+  }
+
+  /** Discovery has ended the call. Without any list before, that shows whether the call waited or discovery is down. */
+  private void onEndedByDiscovery() {
+    if (listReceived) {
       fail();
+    } else {
+      fail(now -> clock.callRejected(connectedAt, now));
     }
   }
 
   private void fail() {
+    fail(clock::callFailed);
+  }
+
+  /** {@code notifyClock} gets the time of the failure. */
+  private void fail(LongConsumer notifyClock) {
     if (!finished) {
-      clock.callFailed(timers.now());
+      notifyClock.accept(timers.now());
       stop();
       onFailure.run();
     }
@@ -161,12 +185,12 @@
     } catch (ProtocolException e) {
       // A truncated answer is a failure.
     }
-    fail();
+    onEndedByDiscovery();
   }
 
   @Override
   public void connectionLost() {
-    fail();
+    onEndedByDiscovery();
   }
 
   @Override
@@ -176,7 +200,10 @@
 
   @Override
   public void status(int code) throws ProtocolException {
-    if (code != OK) {
+    if (code == SERVICE_UNAVAILABLE) {
+      onUnreadable.accept("discovery responded with status " + code);
+      onEndedByDiscovery();
+    } else if (code != OK) {
       throw new ProtocolException("discovery responded with status " + code);
     }
   }
--- a/proxy/src/main/java/lemondeal/discovery/Discovery.java
+++ b/proxy/src/main/java/lemondeal/discovery/Discovery.java
@@ -181,6 +181,16 @@
     pendingFetches.add(startCall(false));
   }
 
+  @Override
+  public ListClock.Validity validity(int pool) {
+    return clock.validity(timers.now());
+  }
+
+  @Override
+  public void continueHeldList() {
+    clock.reconfigured(timers.now());
+  }
+
   private Call startCall(boolean isWatch) {
     String path = isWatch ? LIST_PATH + "?stream=1&index=" + group.generation() : LIST_PATH;
     Call call = new Call(timers, limits, isWatch ? clock : newClock(), path, isWatch, group.generation(), this::onList,
--- a/proxy/src/main/java/lemondeal/discovery/ListSource.java
+++ b/proxy/src/main/java/lemondeal/discovery/ListSource.java
@@ -6,6 +6,7 @@
 import lemondeal.codec.ProtocolException;
 import lemondeal.config.Config;
 import lemondeal.config.Limits;
+import lemondeal.discovery.clock.ListClock;
 import lemondeal.net.Net;
 import lemondeal.net.Timers;
 
@@ -51,6 +52,22 @@
   /** Requests the full list once. */
   void fetch();
 
+  /** The number of server pools that this source lists; their indices count from 0. */
+  default int poolCount() {
+    return 1;
+  }
+
+  /** For how long new requests may be sent by the pool's held list, in microseconds on the timers' clock. */
+  ListClock.Validity validity(int pool);
+
+  /**
+   * The source starts with a list that an earlier source has delivered, since a configuration was reloaded: discovery's
+   * changes count from the reload. Called after {@link #savedLists}.
+   */
+  default void continueHeldList() {
+    // A source without limits on its lists has nothing to do.
+  }
+
   /** Applies a configuration that was reloaded on SIGHUP and validated. */
   void reconfigure(Config newConfig);
 }
--- a/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
+++ b/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
@@ -41,6 +41,11 @@
   private static final int FAILED_CALL_FACTOR = 4;
   /** This many mean pauses, and three of the longest, fit into a drain grace, within which an answer must arrive. */
   private static final int PAUSES_PER_GRACE = 5;
+  /**
+   * How long a call is kept open, in microseconds, if it waits in discovery's queue. One that is rejected sooner shows
+   * that discovery is down: PROTOCOL knows these two reasons for a failed call.
+   */
+  public static final long MIN_QUEUE_WAIT = 300 * MILLI;
   /** Push mode: the mean pause after the first failed call, which doubles each time up to {@link #MAX_BACKOFF}. */
   private static final long INITIAL_BACKOFF = 40 * MILLI;
   /** Lower bound of any pause, in both modes. */
@@ -59,6 +64,17 @@
    */
   public record Settings(boolean pushed, long pollInterval, long drainGrace, long slack, long longPollWait) {}
 
+  /**
+   * For how long new requests may be sent by a held list.
+   *
+   * @param until when it expires, {@link #NEVER} if no limit is known
+   * @param afterAcceptance how long an expired list may still be used for a server, counted from a request that it has
+   *     accepted: a draining server accepts none, and none drains before it is listed so; 0 if that does not hold
+   */
+  public record Validity(long until, long afterAcceptance) {
+    public static final Validity UNLIMITED = new Validity(NEVER, 0);
+  }
+
   private final Settings settings;
   private final long startedAt;
   /** Whether a watch or a long poll is open: until it ends, only silence shows that it is broken. */
@@ -77,6 +93,10 @@
   /** Time of the first change that may have been missed; NEVER while the watch is intact. */
   private long staleSince;
   private boolean unreachable;
+  /** Whether a reachable discovery or agent has failed a call since the last line. */
+  private boolean rejected;
+  /** When discovery was last seen to be down. */
+  private long lastUnreachableAt = -NEVER;
   /**
    * No new change counts as known before this time: the process's start, discovery's return, or some time after a
    * reload.
@@ -117,6 +137,7 @@
     lastBytesAt = now;
     silentSince = NEVER;
     staleSince = NEVER;
+    rejected = false;
   }
 
   /**
@@ -138,6 +159,16 @@
 
   /** The open watch or call failed: it ended, or it was broken and given up. */
   public void callFailed(long now) {
+    boolean agentSilent = settings.pushed() && isBroken(now) && lastBytesAt == lastLineAt && !anyLineReceived;
+    endCall(now);
+    if (agentSilent) {
+      // An agent is silent while discovery is down.
+      markUnreachable(now);
+    }
+  }
+
+  private void endCall(long now) {
+    rejected |= !anyLineReceived;
     staleSince = Math.min(staleSince, now);
     if (isBroken(now)) {
       silentSince = Math.min(silentSince, lastLineAt);
@@ -152,26 +183,52 @@
 
   /** Discovery is unreachable: connections are refused, or it reports so itself. */
   public void discoveryUnreachable(long now) {
-    callFailed(now);
+    endCall(now);
+    markUnreachable(now);
+  }
+
+  private void markUnreachable(long now) {
     unreachable = true;
+    rejected = false;
+    lastUnreachableAt = now;
+  }
+
+  /**
+   * The open call, which has delivered no line, ended with an error of discovery or a reset. Either it has waited too
+   * long in discovery's queue, or discovery is down.
+   *
+   * @param connectedAt when the call's connection was established
+   */
+  public void callRejected(long connectedAt, long now) {
+    if (now - connectedAt >= MIN_QUEUE_WAIT) {
+      discoveryReachable(now);
+      callFailed(now);
+    } else {
+      discoveryUnreachable(now);
+    }
   }
 
-  /** Discovery is reachable again: a connection is established, whatever the answer. */
+  /** Discovery is reachable again, by its answer or its queue. It may have been so since it was last seen to be down. */
   public void discoveryReachable(long now) {
     if (unreachable) {
       unreachable = false;
       failures = 0;
-      reachableSince = now;
-      earliestKnownAt = Math.max(earliestKnownAt, now);
-      lastCallAt = Math.max(lastCallAt, now);
+      reachableSince = lastUnreachableAt;
+      earliestKnownAt = Math.max(earliestKnownAt, lastUnreachableAt);
+      lastCallAt = Math.max(lastCallAt, lastUnreachableAt);
       lastCallFailed = false;
     }
   }
 
-  /** A new configuration applies from {@code now}: discovery may have moved. */
+  /**
+   * A new configuration applies from {@code now}: discovery may have moved, and the new one may list other states than
+   * the held list.
+   */
   public void reconfigured(long now) {
     unreachable = false;
     failures = 0;
+    reachableSince = now;
+    staleSince = Math.min(staleSince, now);
     earliestKnownAt = now + RELOAD_KNOWN_DELAY;
   }
 
@@ -241,9 +298,41 @@
     return known == NEVER ? NEVER : known + settings.drainGrace() + settings.slack();
   }
 
-  /** How long the held list may be used even if it has changed since; NEVER if no change can have been missed. */
+  /**
+   * The earliest time at which the held list may have expired, by the strictest reading; NEVER if no change can have
+   * been missed. A list must be fetched before.
+   */
   public long listValidUntil(long now) {
-    return isBroken(now) ? sendDeadline(lastLineAt) : staleSince == NEVER ? NEVER : sendDeadline(staleSince);
+    long missedSince = missedSince(now);
+    return missedSince == NEVER ? NEVER : sendDeadline(missedSince);
+  }
+
+  /**
+   * Until when new requests may be sent by the held list: from then on a server that it has as ready may have been
+   * draining for too long. No limit if no change can have been missed, and while discovery is unreachable. A process in
+   * poll mode learns nothing from before its start, so the changes of that time count from there. In push mode an agent
+   * that says nothing is either broken, and what it has counts 6 s after its silence began, or has nothing to say since
+   * discovery is down; what an agent has that fails a call counts at once.
+   */
+  public Validity validity(long now) {
+    long missedSince = missedSince(now);
+    if (missedSince == NEVER || unreachable) {
+      return Validity.UNLIMITED;
+    }
+    long since = Math.max(missedSince, startedAt);
+    long until = settings.pushed() && !rejected ? since + SILENCE_KNOWN_DELAY + settings.drainGrace() + settings.slack()
+        : sendDeadline(since);
+    return new Validity(until, shortestKnownDelay() + settings.drainGrace() + settings.slack());
+  }
+
+  /** The least time from a change at discovery until it counts as known here although it has not arrived. */
+  private long shortestKnownDelay() {
+    return settings.pushed() ? 0 : Math.min(settings.pollInterval(), MAX_KNOWN_DELAY);
+  }
+
+  /** When the first change that may have been missed was made; NEVER if none can have been. */
+  private long missedSince(long now) {
+    return isBroken(now) ? Math.min(staleSince, lastLineAt) : staleSince;
   }
 
   /**
--- a/proxy/src/main/java/lemondeal/module/DecisionModule.java
+++ b/proxy/src/main/java/lemondeal/module/DecisionModule.java
@@ -39,6 +39,8 @@
       requestLifecycle.wakeUp(e.token());
     } else if (event instanceof ServerList e) {
       membership.applyList(e);
+    } else if (event instanceof ListValidity e) {
+      node.listValidity = e;
     } else if (event instanceof ClientGone e) {
       requestLifecycle.clientGone(e.id());
     } else if (event instanceof MessageDelay e) {
--- a/proxy/src/main/java/lemondeal/module/NodeState.java
+++ b/proxy/src/main/java/lemondeal/module/NodeState.java
@@ -21,6 +21,8 @@
   // By token of their wake-up.
   final Map<Long, RequestState> waitingRequests = new HashMap<>();
   long nextWakeUpToken = 16; // smaller tokens are reserved
+  ListValidity listValidity = new ListValidity(0, ListValidity.UNLIMITED, 0);
+  private long expiryLoggedAt = NEVER;
 
   void start(Start event) {
     settings = event.settings();
@@ -38,6 +40,24 @@
     return servers.computeIfAbsent(name, Server::new);
   }
 
+  /** Whether servers that are listed as ready may have been draining for too long to get a request. */
+  boolean isListExpired() {
+    return now >= listValidity.until();
+  }
+
+  /** Whether that may be so for this server: it has not accepted a request of late. */
+  boolean isListExpired(Server server) {
+    return isListExpired() && now >= server.acceptedAt + listValidity.afterAcceptance();
+  }
+
+  /** Logs that a request is refused since the list has expired; rate-limited. */
+  void logExpiredList() {
+    if (now - expiryLoggedAt >= LOG_INTERVAL) {
+      expiryLoggedAt = now;
+      actions.add(new Log("server list expired: refusing requests until discovery sends one"));
+    }
+  }
+
   /** Logs for on-call staff which exception applies to a server and why; rate-limited for each server. */
   void log(Server server, String text) {
     if (now - server.loggedAt >= LOG_INTERVAL) {
--- a/proxy/src/main/java/lemondeal/module/Ranking.java
+++ b/proxy/src/main/java/lemondeal/module/Ranking.java
@@ -49,7 +49,7 @@
         && request.triedServers.isEmpty()
         && node.now - server.drainingSince < node.settings.rules().drainGrace();
     return (server.state == ServerState.READY || drainingHolder) && !request.triedServers.contains(server)
-        && request.mayRetryOn(server) && zoneAdmission.admits(server, request);
+        && request.mayRetryOn(server) && zoneAdmission.admits(server, request) && !node.isListExpired(server);
   }
 
   /** Whether a new client skips the server: it is at its limit, or the client is in the share that it sheds
--- a/proxy/src/main/java/lemondeal/module/RequestLifecycle.java
+++ b/proxy/src/main/java/lemondeal/module/RequestLifecycle.java
@@ -9,15 +9,18 @@
   private static final long HOLD_INTERVAL = 100_000; // between two placements of a held request
   // How long before the client's deadline its final answer is given: a few timer ticks of any node.
   private static final long ANSWER_MARGIN = 30_000;
+  // How long a request waits for a new list once the held one has expired; calls to discovery take about that
+  // long to be repeated.
+  private static final long EXPIRED_LIST_WAIT = 1_000_000;
 
   void arrived(Request details) {
-    RequestState request = new RequestState(details, node.settings);
+    RequestState request = new RequestState(details, node.settings, node.now);
     node.requests.put(details.id(), request);
     proceed(request);
   }
 
   void adopted(Adopted event) {
-    RequestState request = new RequestState(event.request(), node.settings);
+    RequestState request = new RequestState(event.request(), node.settings, node.now);
     request.attemptStarted(node.getOrCreateServer(event.server()), node.now);
     connectionOpened(request);
     node.requests.put(event.request().id(), request);
@@ -56,6 +59,13 @@
       hold(request, Math.min(timeLeft, LoadEstimator.PROBE_WAIT + ANSWER_MARGIN));
     } else if (server != null) {
       send(request, server, timeLeft);
+    } else if (node.isListExpired()) {
+      node.logExpiredList();
+      if (node.now - request.arrivedAt < EXPIRED_LIST_WAIT) {
+        hold(request, timeLeft);
+      } else {
+        giveUp(request);
+      }
     } else if (request.triedServers.size() < Math.max(1, node.listedServers.length)
         && ranking.timeUntilCapacity(request) < timeLeft - ANSWER_MARGIN) {
       hold(request, timeLeft);
@@ -110,6 +120,7 @@
   void established(Established event) {
     Server server = node.servers.get(event.server());
     if (server != null) {
+      server.acceptedAt = Math.max(server.acceptedAt, node.now - event.elapsed());
       health.setupEnded(server, Outcome.SERVED);
     }
     RequestState request = node.requests.get(event.id());
@@ -124,6 +135,7 @@
     Server server = node.servers.get(event.server());
     boolean wasEstablished = request != null && request.established;
     if (server != null && !wasEstablished) {
+      server.acceptedAt = event.outcome() == Outcome.REFUSED ? NodeState.NEVER : server.acceptedAt;
       health.setupEnded(server, event.outcome());
     } else if (server != null && event.outcome() == Outcome.RESET) {
       health.connectionLost(server);
--- a/proxy/src/main/java/lemondeal/module/RequestState.java
+++ b/proxy/src/main/java/lemondeal/module/RequestState.java
@@ -9,6 +9,7 @@
  * its retries. */
 final class RequestState {
   final Request details;
+  final long arrivedAt;
   final RequestClass requestClass; // null if the class is not in the settings
   final long groupHash;
   final long clientHash;
@@ -25,8 +26,9 @@
   boolean moveSent;
   boolean clientLeft; // only the outcome of the attempt in flight is awaited
 
-  RequestState(Request details, Settings settings) {
+  RequestState(Request details, Settings settings, long now) {
     this.details = details;
+    this.arrivedAt = now;
     this.loadHint = details.cost() > 0 && details.cost() < Double.POSITIVE_INFINITY ? details.cost() : 0;
     int classIndex = details.requestClass();
     this.requestClass = classIndex >= 0 && classIndex < settings.classes().size()
--- a/proxy/src/main/java/lemondeal/module/Server.java
+++ b/proxy/src/main/java/lemondeal/module/Server.java
@@ -23,6 +23,7 @@
   int lostConnections;
   long lossWindowStart = NEVER;
   long unansweredAt = NEVER; // when a line sent there last went unanswered
+  long acceptedAt = NEVER; // when the latest request that it accepted was sent; NEVER if it refused one since
   long unreachableAt = NEVER; // when an attempt or probe last failed to reach it
   long coldWindow = -1;
   int coldSends;
@@ -67,5 +68,6 @@
     probeInFlight = false;
     coldWindow = -1;
     shedShare = 0;
+    acceptedAt = NEVER;
   }
 }
--- a/proxy/src/main/java/lemondeal/proxy/ClientLink.java
+++ b/proxy/src/main/java/lemondeal/proxy/ClientLink.java
@@ -160,7 +160,7 @@
             "attempt " + attempt.number() + " at " + attempt.server() + " not sent");
         return false;
       }
-      if (rules.isLateForDraining(now, drainingSince)) {
+      if (rules.isLateForDraining(now, drainingSince) || context.isListExpired(attempt.server())) {
         return false;
       }
       rules.attemptSent(now, server);
@@ -227,6 +227,7 @@
     if (isAdoption()) {
       context.dispatcher().dispatch(new Adopted(request, attempt.server()));
     } else {
+      context.servers().accepted(attempt.server(), context.now() - attempt.elapsed());
       context.dispatcher().dispatch(new Established(id, attempt.number(), attempt.server(), attempt.elapsed()));
     }
     if (admission.isClosing()) {
--- a/proxy/src/main/java/lemondeal/proxy/Context.java
+++ b/proxy/src/main/java/lemondeal/proxy/Context.java
@@ -25,6 +25,11 @@
     return generations.group();
   }
 
+  /** Whether the list that names the server is too old to send a new request there. */
+  boolean isListExpired(String server) {
+    return servers.isListExpired(server, generations.listValidity(servers.pool(server)), now());
+  }
+
   /** How a new client's connection relates to earlier and later ones of the same session. */
   SessionContinuity continuity(OpenLine openLine) {
     return continuityFactory.apply(openLine);
--- a/proxy/src/main/java/lemondeal/proxy/Generation.java
+++ b/proxy/src/main/java/lemondeal/proxy/Generation.java
@@ -34,6 +34,7 @@
 import lemondeal.config.Config;
 import lemondeal.discovery.HostGroup;
 import lemondeal.discovery.ListSource;
+import lemondeal.discovery.clock.ListClock;
 import lemondeal.figures.RequestCounters;
 import lemondeal.log.EventLog;
 import lemondeal.net.Net;
@@ -84,9 +85,10 @@
     this.counters = counters;
     group = new HostGroup(config.names());
     servers = new KnownServers(config.names(), shared.wheel()::now);
-    dispatcher = new EventDispatcher(module, shared.wheel()::now, this::perform);
     source = shared.sourceFactory().create(shared.net(), shared.wheel(), config.limits(), config, group,
         list -> generations.listReceived(this, list));
+    ListValidityTracker listValidity = new ListValidityTracker(source.poolCount(), generations::listValidity);
+    dispatcher = new EventDispatcher(module, shared.wheel()::now, listValidity::changes, this::perform);
     DelayMeter delayMeter = new DelayMeter(config.settings(), config.limits(), dispatcher::dispatch);
     context = new Context(generations, this.config, shared.net(), shared.wheel(), dispatcher, delayMeter, counters,
         new FinalAnswer(counters, shared.trace()), servers, shared.violations(), shared.trace(),
@@ -146,6 +148,7 @@
     startedWithList = true;
     dispatcher.dispatch(new Start(seed, config.settings()));
     source.savedLists();
+    source.continueHeldList();
     if (sameList) {
       group.applySourceUpdate(group.generation(), list.kind(), list.entries(), previous.addresses(), 0);
     }
@@ -231,6 +234,15 @@
     }
   }
 
+  /** For how long new requests may be sent by the list of this generation's own source. */
+  ListClock.Validity listValidity(int pool) {
+    return source.validity(pool);
+  }
+
+  int poolCount() {
+    return source.poolCount();
+  }
+
   private void dispatchList(ServerList list) {
     dispatcher.dispatch(shared.startTimes().toLocalClock(list));
     if (list.kind() == ListKind.FULL || list.entries().stream().anyMatch(entry -> entry.state() == ServerState.GONE)) {
--- a/proxy/src/main/java/lemondeal/proxy/Generations.java
+++ b/proxy/src/main/java/lemondeal/proxy/Generations.java
@@ -2,6 +2,7 @@
 
 import lemondeal.Balancer;
 import lemondeal.Balancer.ListKind;
+import lemondeal.Balancer.ListValidity;
 import lemondeal.Balancer.ServerList;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -13,6 +14,7 @@
 import lemondeal.codec.ProtocolException;
 import lemondeal.config.Config;
 import lemondeal.discovery.HostGroup;
+import lemondeal.discovery.clock.ListClock;
 import lemondeal.figures.RequestCounters;
 import lemondeal.net.Timers;
 
@@ -29,6 +31,9 @@
    */
   private static final int MAX_OLDER_SERVERS = 3_200;
 
+  /** Two pauses of the process, in microseconds. */
+  private static final long PAUSE_ALLOWANCE = 2 * RequestRules.MAX_PROCESS_PAUSE;
+
   private final Generation.SharedServices shared;
   private final Runnable onListReceived;
   private final long seed;
@@ -70,6 +75,33 @@
     return newest.group();
   }
 
+  /**
+   * Until when new requests may be sent by the pool's held list, whatever settings they began under: all follow the
+   * lists of each watch that is open. Allows for two pauses of this process, one before it reads what discovery or a
+   * server has written and one before it writes the request.
+   */
+  ListValidity listValidity(int pool) {
+    ListClock.Validity validity = newest.listValidity(pool);
+    if (previousWatching != null && previousWatching.listValidity(pool).until() > validity.until()) {
+      validity = previousWatching.listValidity(pool);
+    }
+    if (validity.until() >= ListClock.NEVER) {
+      return new ListValidity(pool, ListValidity.UNLIMITED, 0);
+    }
+    return new ListValidity(pool, validity.until() - PAUSE_ALLOWANCE,
+        Math.max(0, validity.afterAcceptance() - PAUSE_ALLOWANCE));
+  }
+
+  /** Whether the held list of any pool has expired: most of its servers get no new requests. */
+  boolean isAnyListExpired() {
+    for (int pool = 0; pool < newest.poolCount(); pool++) {
+      if (shared.wheel().now() >= listValidity(pool).until()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Takes over a new address of discovery; the settings stay as they are. */
   void reconfigureDiscovery(Config fresh) {
     newest.reconfigure(fresh);
--- a/proxy/src/main/java/lemondeal/proxy/KnownServers.java
+++ b/proxy/src/main/java/lemondeal/proxy/KnownServers.java
@@ -1,6 +1,7 @@
 package lemondeal.proxy;
 
 import lemondeal.Balancer.ListKind;
+import lemondeal.Balancer.ListValidity;
 import lemondeal.Balancer.ServerEntry;
 import lemondeal.Balancer.ServerList;
 import lemondeal.Balancer.ServerState;
@@ -32,6 +33,8 @@
   /** Recently removed servers, with their last entries. */
   private final Map<String, RemovedServer> removed = new HashMap<>();
   private final Map<String, Long> drainingSince = new HashMap<>();
+  /** When the latest request that each server accepted was sent. */
+  private final Map<String, Long> acceptedAt = new HashMap<>();
   private final LongSupplier clock;
 
   KnownServers(Names names, LongSupplier clock) {
@@ -61,6 +64,7 @@
     missing.forEach(server -> remove(entries.get(server), now));
     removed.values().removeIf(server -> now - server.removedAt() > REMOVED_RETENTION);
     drainingSince.keySet().removeIf(server -> !entries.containsKey(server) && !removed.containsKey(server));
+    acceptedAt.keySet().retainAll(entries.keySet());
   }
 
   /** Forgets all servers. */
@@ -69,6 +73,7 @@
     poolByServer.clear();
     removed.clear();
     drainingSince.clear();
+    acceptedAt.clear();
   }
 
   private Set<String> serversOf(int pool) {
@@ -101,6 +106,25 @@
     return entry != null || removedServer == null ? entry : removedServer.entry();
   }
 
+  /** The server has accepted a request that was sent at {@code sentAt}, so it was not draining then. */
+  void accepted(String server, long sentAt) {
+    if (entries.containsKey(server)) {
+      acceptedAt.merge(server, sentAt, Math::max);
+    }
+  }
+
+  /** Whether the list that names the server is too old to send a new request there at {@code now}. */
+  boolean isListExpired(String server, ListValidity validity, long now) {
+    Long lastAcceptedAt = acceptedAt.get(server);
+    return now >= validity.until()
+        && (lastAcceptedAt == null || now >= lastAcceptedAt + validity.afterAcceptance());
+  }
+
+  /** The pool whose lists name the server; 0 if none does. */
+  int pool(String server) {
+    return poolByServer.getOrDefault(server, 0);
+  }
+
   /** When the server was announced as draining or removed, in microseconds, or {@link RequestRules#NOT_DRAINING}. */
   long drainingSince(String server) {
     return drainingSince.getOrDefault(server, RequestRules.NOT_DRAINING);
--- a/proxy/src/main/java/lemondeal/proxy/Proxy.java
+++ b/proxy/src/main/java/lemondeal/proxy/Proxy.java
@@ -267,6 +267,7 @@
     result.put("in_flight", (long) requests.size());
     result.put("servers_known", (long) summary.known());
     result.put("servers_excluded", (long) summary.avoided());
+    result.put("list_expired", generations.isAnyListExpired() ? 1L : 0L);
     violations.addTo(result);
     trace.addTo(result);
     if (resumption != null) {
--- a/proxy/src/main/java/lemondeal/proxy/RequestRules.java
+++ b/proxy/src/main/java/lemondeal/proxy/RequestRules.java
@@ -18,7 +18,7 @@
   static final long NOT_DRAINING = Long.MAX_VALUE;
 
   /** STANDING: a proxy may be paused for this long between reading its clock and writing, in microseconds. */
-  private static final long MAX_PROCESS_PAUSE = 150_000;
+  static final long MAX_PROCESS_PAUSE = 150_000;
 
   private final RequestClass requestClass;
   private final long drainGrace;
--- a/proxy/src/main/java/lemondeal/trace/TracingBalancer.java
+++ b/proxy/src/main/java/lemondeal/trace/TracingBalancer.java
@@ -78,6 +78,10 @@
             .append(s.startedAt());
       }
       return line.toString();
+    } else if (event instanceof ListValidity e) {
+      return "list-validity pool=" + e.pool() + " left="
+          + (e.until() == ListValidity.UNLIMITED ? "unlimited" : String.valueOf((e.until() - now) / 1000))
+          + " accepted=" + e.afterAcceptance() / 1000;
     }
     return event.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT);
   }
--- a/proxy/src/test/java/lemondeal/PoolRouterTest.java
+++ b/proxy/src/test/java/lemondeal/PoolRouterTest.java
@@ -90,6 +90,17 @@
     assertFalse(router.on(3, new Arrived(request("r1", 1, 3))).stream().anyMatch(action -> action instanceof Send));
   }
 
+  /** Guards against one service's old list ending the requests of all classes. */
+  @Example
+  void anExpiredListOfOnePoolDoesNotAffectTheOthers() {
+    PoolRouter router = startedRouter();
+    router.on(1, list(0, ListKind.FULL, ServerState.READY, "a1"));
+    router.on(1, list(1, ListKind.FULL, ServerState.READY, "b1"));
+    router.on(2, new Balancer.ListValidity(1, 3, 0));
+    assertTrue(router.on(4, new Arrived(request("r0", 0, 4))).stream().anyMatch(action -> action instanceof Send));
+    assertFalse(router.on(5, new Arrived(request("r1", 1, 5))).stream().anyMatch(action -> action instanceof Send));
+  }
+
   private static Send sent(List<Action> actions) {
     return (Send) actions.stream().filter(action -> action instanceof Send).findFirst().orElseThrow();
   }
--- a/proxy/src/test/java/lemondeal/discovery/clock/ListClockTest.java
+++ b/proxy/src/test/java/lemondeal/discovery/clock/ListClockTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvFileSource;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** The documented rules on when a list change counts as known: one row for each rule in list-clock.csv. */
@@ -33,11 +34,13 @@
 
   private static ListClock clockAfter(String listMode, String history) {
     ListClock clock = clock(listMode);
+    long calledAt = 0;
     for (String event : history == null ? new String[0] : history.split(" ")) {
       String[] parts = event.split(":");
       long at = micros(parts[0]);
       switch (parts[1]) {
-        case "call" -> clock.callStarted(at);
+        case "call" -> clock.callStarted(calledAt = at);
+        case "reject" -> clock.callRejected(calledAt, at);
         case "line" -> clock.lineReceived(at);
         case "part" -> clock.bytesReceived(at);
         case "answer" -> clock.listReceived(at);
@@ -71,13 +74,37 @@
     assertEquals(GRACE + SLACK, clockAfter("pushed", null).listValidUntil(0),
         "a new process has not received a list yet");
     assertEquals(GRACE + SLACK, clockAfter("asked", null).listValidUntil(0), "the same in poll mode");
-    ListClock failing = clockAfter("asked", "0:call 0.1:line 4:line 5:down 13:back 13.1:call 14:fail");
+    ListClock failing = clockAfter("asked", "0:call 0.1:line 4:line 5:down 13:down 13:back 13.1:call 14:fail");
     assertEquals(13_000_000 + 6_000_000 + GRACE + SLACK, failing.listValidUntil(14_000_000),
         "failed calls do not extend the limit");
     ListClock back = clockAfter("pushed", "0:call 0.1:line 5:down 5:back 5:fail");
     assertEquals(5_000_000 + GRACE + SLACK, back.listValidUntil(5_000_000));
   }
 
+  /** Guards against sends by a list of which discovery may have listed a server as draining for over 6 s: review/10. */
+  @ParameterizedTest(name = "{0}: {4}")
+  @CsvSource(delimiter = ';', value = {
+      "asked; 0:call 0.1:line; 1; never; an intact watch misses nothing",
+      "asked; 0:call 0.1:line; 3; 7.15; a silent one does from its last line on",
+      "asked; 0:call 3:reject; 4; 7.05; a new process learns of changes from its start on",
+      "asked; 0:call 3:reject 4:call; 7; 7.05; a pending call brings no list",
+      "asked; 0:call 0.1:line 4:line 5:fail 5:call 8:reject 9:call 12:reject; 13; 12.05; nor do calls that fail",
+      "asked; 0:call 0.1:line 4:line 5:fail 5:call 8:reject 9:call 9.1:line; 13; 16.15; a list begins anew",
+      "asked; 0:call 0.1:line 4:line 5:fail 5:call 5.1:reject; 60; never; while discovery is down it lists nothing new",
+      "asked; 0:call 0.1:line 5:line 5:fail 5:call 5.1:reject 6:call 9:reject; 9; 12.15; until its queue is back",
+      "asked; 0:call 0.1:line 4:line 5:reload 5:call; 6; 12.05; a new discovery may list other states",
+      "asked 2; 0:call 0.1:line 4:line 5:fail; 6; 8.05; a shorter poll interval ends it earlier",
+      "pushed; 0:call; 3; 7.05; an agent that says nothing may be broken",
+      "pushed; 0:call 3.6:fail; 60; never; or discovery is down",
+      "pushed; 0:call 0.1:line 4:line 5:fail 5:call; 5.9; 12.05; the same after a watch has ended",
+      "pushed; 0:call 0.1:line 4:line 5:fail 5:call 6:reject; 6; 6.05; what a failing agent has counts at once",
+      "pushed; 0:call 0.1:line 4:line 5:fail 5:call 5.1:reject; 60; never; unless discovery is down"})
+  void newRequestsEndBeforeAMissedDrainIsTooOld(String listMode, String history, String now, String until,
+      String reason) {
+    long allowedUntil = clockAfter(listMode, history).validity(micros(now)).until();
+    assertEquals(until.equals("never") ? ListClock.NEVER : micros(until), allowedUntil, reason);
+  }
+
   /**
    * The next call comes before the held list expires, whatever the jitter; in push mode there is time for two failed
    * calls.
--- /dev/null
+++ b/proxy/src/test/java/lemondeal/proxy/ExpiredListTest.java
@@ -0,0 +1,145 @@
+package lemondeal.proxy;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.List;
+import lemondeal.Balancer;
+import lemondeal.Balancer.Arrived;
+import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.Outcome;
+import lemondeal.Balancer.Send;
+import lemondeal.module.DecisionModule;
+import lemondeal.proxy.ProxyFixture.LineSocket;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * Requests while the held list is older than the platform allows: discovery may have listed any of its servers as
+ * draining for more than 6 s and the drain grace (review/10).
+ */
+@Timeout(60)
+class ExpiredListTest {
+  private static final long SECOND = 1_000_000;
+  private static final String FIELDS = "c=chat,d=2000";
+  private static final String UNAVAILABLE = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
+  /** A proxy in poll mode that starts with a list. {@code module} null stands for a script that always sends. */
+  private static ProxyFixture startProxy(Balancer module) throws IOException {
+    return ProxyFixture.of(event -> event instanceof Arrived a
+        ? List.of(new Send(a.request().id(), ProxyFixture.SERVER, 0)) : List.of(), options -> {
+          options.module = module;
+          options.editConfig = text -> ProxyFixture.withDefaultRules(text)
+              .replace("\"settings\":{", "\"settings\":{\"membershipMode\":\"subscribe\",")
+              .replace("\"rules\":{", "\"rules\":{\"askEvery\":10000000,")
+              .replace("\"permissions\":{", "\"permissions\":{\"tryLimit\":3,");
+        });
+  }
+
+  private static LineSocket acceptCall(ProxyFixture fixture) throws IOException {
+    LineSocket call = fixture.acceptAtDiscovery();
+    while (!call.readLine().isEmpty()) {
+      continue;
+    }
+    return call;
+  }
+
+  /** Discovery rejects the proxy's calls, each after this time in its queue, until this much time has passed. */
+  private static void rejectCalls(ProxyFixture fixture, long queueTime, long until) throws Exception {
+    long elapsed = 0;
+    while (elapsed < until) {
+      fixture.advanceClock(SECOND / 2);
+      elapsed += SECOND / 2;
+      LineSocket call = acceptCall(fixture);
+      fixture.advanceClock(Math.min(queueTime, until - elapsed));
+      elapsed += queueTime;
+      call.send(UNAVAILABLE).readToEnd();
+    }
+  }
+
+  private static LineSocket acceptRequest(ProxyFixture fixture) throws IOException {
+    LineSocket server = fixture.acceptAtServer();
+    assertTrue(server.readLine().startsWith("OPEN "));
+    return server;
+  }
+
+  private static void assertServed(ProxyFixture fixture) throws IOException {
+    LineSocket client = fixture.newClient(FIELDS);
+    acceptRequest(fixture).send("UP r\r\n");
+    assertEquals("UP r", client.readLine());
+  }
+
+  /** The request waits for a list for a second, and no longer. */
+  private static void assertRefused(ProxyFixture fixture) throws Exception {
+    LineSocket client = fixture.newClient(FIELDS);
+    fixture.awaitEvent(Arrived.class);
+    fixture.advanceClock(SECOND + SECOND / 5);
+    assertEquals("BUSY", client.readLine().split(" ")[0]);
+  }
+
+  /** Guards against placing requests by a list that has expired while discovery has too many callers: review/10. */
+  @Test
+  void requestsAreRefusedWhileDiscoveryIsCrowdedForTooLong() throws Exception {
+    try (ProxyFixture fixture = startProxy(new DecisionModule())) {
+      rejectCalls(fixture, 3 * SECOND, 7 * SECOND);
+      assertRefused(fixture);
+      assertEquals(1, fixture.metric("list_expired"));
+      LineSocket waiting = fixture.newClient(FIELDS);
+      fixture.awaitEvent(Arrived.class);
+      acceptCall(fixture).send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+      acceptRequest(fixture).send("UP r\r\n");
+      assertEquals("UP r", waiting.readLine(), "placed as soon as discovery has answered");
+      assertEquals(0, fixture.metric("list_expired"));
+    }
+  }
+
+  /** Guards against refusing all requests: a server that has accepted one was not draining then. */
+  @Test
+  void aServerThatAcceptsRequestsGetsMoreUntilItRefusesOne() throws Exception {
+    try (ProxyFixture fixture = startProxy(new DecisionModule())) {
+      rejectCalls(fixture, 3 * SECOND, 6 * SECOND);
+      assertServed(fixture);
+      fixture.advanceClock(6 * SECOND);
+      assertServed(fixture);
+      fixture.advanceClock(6 * SECOND);
+      LineSocket refused = fixture.newClient(FIELDS);
+      acceptRequest(fixture).send("BUSY\r\n");
+      fixture.awaitEvent(Ended.class);
+      fixture.advanceClock(SECOND + SECOND / 5);
+      assertEquals("BUSY", refused.readLine().split(" ")[0]);
+      assertRefused(fixture);
+    }
+  }
+
+  /** Guards against using what a server accepted long ago. */
+  @Test
+  void anAcceptedRequestShowsNothingAfterSevenSeconds() throws Exception {
+    try (ProxyFixture fixture = startProxy(new DecisionModule())) {
+      rejectCalls(fixture, 3 * SECOND, 6 * SECOND);
+      assertServed(fixture);
+      fixture.advanceClock(7 * SECOND);
+      assertRefused(fixture);
+    }
+  }
+
+  /** Guards against refusing requests in an outage of discovery, which lists nothing new meanwhile. */
+  @Test
+  void requestsAreServedHoweverLongDiscoveryIsDown() throws Exception {
+    try (ProxyFixture fixture = startProxy(new DecisionModule())) {
+      rejectCalls(fixture, 0, 20 * SECOND);
+      assertServed(fixture);
+    }
+  }
+
+  /** Guards against an attempt that was decided on in time and is sent late: a dial takes its time. */
+  @Test
+  void anAttemptIsNotSentOnceTheListHasExpired() throws Exception {
+    try (ProxyFixture fixture = startProxy(null)) {
+      fixture.advanceClock(8 * SECOND);
+      fixture.newClient(FIELDS);
+      assertEquals(Outcome.NOT_SENT, fixture.awaitEvent(Ended.class).outcome());
+      assertEquals(null, fixture.acceptAtServer().readLine());
+    }
+  }
+}
