--- a/lab/src/main/java/lemondeal/lab/consul/Catalogue.java
+++ b/lab/src/main/java/lemondeal/lab/consul/Catalogue.java
@@ -89,6 +89,11 @@
     notifyAll();
   }
 
+  /** Makes several changes visible at once, as one transaction of Consul's does. */
+  public synchronized void transaction(Runnable changes) {
+    changes.run();
+  }
+
   private void recordChange(Instance instance) {
     instance.modifyIndex = ++raftIndex;
     serviceIndex.put(instance.service, raftIndex);
--- a/lab/src/test/java/lemondeal/lab/consul/ConsulTestClusterTest.java
+++ b/lab/src/test/java/lemondeal/lab/consul/ConsulTestClusterTest.java
@@ -65,6 +65,46 @@
     }
   }
 
+  /**
+   * Guards against holding back what an answer says because it takes away most servers, in five rounds: critical ones
+   * are drained, deregistered ones get no more work, new ones get some, and the last server of a service is drained as
+   * well (review/9).
+   */
+  @Test
+  void drainsOfMostServersAtOnceEndNewWorkWithinASecond() throws Exception {
+    try (ConsulTestCluster cluster = new ConsulTestCluster(1, 5, DAMPING);
+        ShortConnectionClients clients = new ShortConnectionClients(cluster::nextProxyAddress, 16,
+            ConsulTestCluster.CHAT_CLASS)) {
+      Catalogue catalogue = cluster.consul().catalogue();
+      awaitWork(cluster, List.of("s-1", "s-2", "s-3", "s-4", "s-5"));
+      assertWorkEndsWithinASecond(cluster, List.of("s-1", "s-2", "s-3"), key -> catalogue.setStatus(key, "critical"));
+      cluster.addServer("s-6");
+      cluster.addServer("s-7");
+      cluster.addServer("s-8");
+      awaitWork(cluster, List.of("s-4", "s-5", "s-6", "s-7", "s-8"));
+      catalogue.transaction(() -> List.of("s-1", "s-2", "s-3").forEach(name ->
+          catalogue.deregister(cluster.consulKey(name))));
+      assertWorkEndsWithinASecond(cluster, List.of("s-4", "s-5", "s-6"), catalogue::deregister);
+      assertWorkEndsWithinASecond(cluster, List.of("s-7"), key -> catalogue.setStatus(key, "critical"));
+      awaitWork(cluster, List.of("s-8"));
+      assertWorkEndsWithinASecond(cluster, List.of("s-8"), key -> catalogue.setStatus(key, "critical"));
+      clients.stop();
+      assertEquals(List.of(), clients.breaches());
+    }
+  }
+
+  /** Changes the servers in one transaction; the last new request reaches each of them within 1 s of that. */
+  private static void assertWorkEndsWithinASecond(ConsulTestCluster cluster, List<String> names,
+      Consumer<String> change) throws InterruptedException {
+    long changed = System.nanoTime();
+    cluster.consul().catalogue().transaction(() -> names.forEach(name -> change.accept(cluster.consulKey(name))));
+    Thread.sleep(2500);
+    for (String name : names) {
+      long last = cluster.server(name).lastOpenNanos();
+      assertTrue(last < changed + SECOND, name + ": new work " + (last - changed) / 1_000_000 + " ms after the change");
+    }
+  }
+
   /** A server turns critical during pending setups: each request gets one answer, and no new one is sent there. */
   @Test
   void criticalCheckDuringSetupLosesNoRequest() throws Exception {
--- a/proxy/src/main/java/lemondeal/consul/ConsulSource.java
+++ b/proxy/src/main/java/lemondeal/consul/ConsulSource.java
@@ -214,7 +214,7 @@
     long now = now();
     ListGuard.Verdict verdict = ListGuard.evaluate(new ListGuard.Answer(reply.index(), reply.knownLeader(),
         reply.lastContact(), settings.consistency() == ConsulSettings.Consistency.STALE, reply.members().size(),
-        listChanged ? 0 : memberTable.countLost(reply.members())),
+        listChanged ? 0 : memberTable.countMissing(reply.members())),
         new ListGuard.HeldList(index, memberTable.servingCount(), rejectedSince), now, settings.guard());
     if (verdict instanceof ListGuard.Accept accept) {
       acceptReply(reply, accept, now);
@@ -232,30 +232,37 @@
     confirmTimer = null;
     index = accept.nextIndex();
     if (!unchanged) {
-      MemberTable.Change change = memberTable.apply(reply.members(), now, System.currentTimeMillis());
-      if (!fullListSent) {
-        fullListSent = true;
-        onServerList.accept(toServerList(ListKind.FULL, memberTable.effectiveMembers(), List.of()));
-      } else {
-        sendChanges(change);
-      }
-      if (listFile != null) {
-        listFile.save(settings.listName(), reply.members());
-      }
-      scheduleRecheck(now);
+      deliver(memberTable.apply(reply.members(), now, System.currentTimeMillis()), now);
     }
     scheduleQuery(PollBackoff.nextDelay(PollBackoff.CallOutcome.ANSWERED, 0, reply.durationMillis(),
         random.nextDouble(), settings.backoff()));
   }
 
+  /** Passes a change of the table on to the module and the saved list. */
+  private void deliver(MemberTable.Change change, long now) {
+    if (!fullListSent) {
+      fullListSent = true;
+      onServerList.accept(toServerList(ListKind.FULL, memberTable.effectiveMembers(), List.of()));
+    } else {
+      sendChanges(change);
+    }
+    if (listFile != null) {
+      listFile.save(settings.listName(), memberTable.members());
+    }
+    scheduleRecheck(now);
+  }
+
   private void rejectReply(ConsulClient.Reply reply, ListGuard.Reject reject, long now) {
     logRateLimited("consul-kept", reject.reason().replaceAll("[0-9]", ""),
         "lemondeal: Consul's answer is not believed (" + reject.reason() + "); keeping the current list",
         "why", reject.reason());
     index = reject.nextIndex();
-    if (reject.bySize() && rejectedSince == 0) {
-      rejectedSince = now;
-      confirmTimer = timers.after(settings.guard().confirmAfterMillis() * MILLI, this::confirmRejected);
+    if (reject.bySize()) {
+      if (!reply.members().isEmpty()) {
+        deliver(memberTable.applyPartial(reply.members(), now, System.currentTimeMillis()), now);
+      }
+      rejectedSince = rejectedSince == 0 ? now : rejectedSince;
+      scheduleConfirmation(settings.guard().confirmAfterMillis(reply.members().size()) - (now - rejectedSince));
     }
     scheduleQuery(reject.bySize()
         ? PollBackoff.nextDelay(PollBackoff.CallOutcome.ANSWERED, 0, reply.durationMillis(), random.nextDouble(),
@@ -264,6 +271,11 @@
             random.nextDouble(), settings.backoff()));
   }
 
+  private void scheduleConfirmation(long millis) {
+    Timers.cancel(confirmTimer);
+    confirmTimer = timers.after(Math.max(1, millis) * MILLI, this::confirmRejected);
+  }
+
   /**
    * Requests once more, without a wait, an answer that was rejected for its size; it is accepted if it still shows the
    * loss.
--- a/proxy/src/main/java/lemondeal/membership/MemberTable.java
+++ b/proxy/src/main/java/lemondeal/membership/MemberTable.java
@@ -45,12 +45,16 @@
     private long startedAt;
     /** The sequence number of the last list that has it. */
     private long lastSeenList;
+    /** Whether the last list that was applied has it. */
+    private boolean listed;
   }
 
   private final Map<String, Entry> entries = new HashMap<>();
   private Damping.Settings settings;
   private boolean hasList;
   private long listSequence;
+  /** The number of instances in the last list. */
+  private int listedCount;
   private int servingCount;
   private long nextRecheckAt = Long.MAX_VALUE;
 
@@ -81,19 +85,19 @@
     return nextRecheckAt;
   }
 
-  /** The number of held instances that serve and are missing from this list or failing in it. */
-  public int countLost(List<Member> members) {
-    int stillServing = 0;
+  /** The number of held instances that serve and are missing from this list. */
+  public int countMissing(List<Member> members) {
+    int listed = 0;
     long mark = -++listSequence;
     for (Member member : members) {
       Entry entry = entries.get(member.id());
       // Marked, so that a duplicate id does not make up for a missing one.
       if (entry != null && entry.lastSeenList != mark) {
         entry.lastSeenList = mark;
-        stillServing += entry.damping.serves() && member.health().serves() ? 1 : 0;
+        listed += entry.damping.serves() ? 1 : 0;
       }
     }
-    return servingCount - stillServing;
+    return servingCount - listed;
   }
 
   /**
@@ -103,22 +107,38 @@
    * @param registeredAt Unix milliseconds that count as the start of instances not listed before
    */
   public Change apply(List<Member> members, long now, long registeredAt) {
+    List<EffectiveMember> changed = updateListed(members, now, registeredAt);
+    List<String> removed = listedCount == entries.size() ? List.of() : removeUnlisted();
+    return new Change(changed, removed);
+  }
+
+  /**
+   * Applies a list that may lack instances: those that it has are updated or added, and the others stay as they are.
+   * They are not returned to service either until a list has them. The parameters are those of {@link #apply}.
+   */
+  public Change applyPartial(List<Member> members, long now, long registeredAt) {
+    List<EffectiveMember> changed = updateListed(members, now, registeredAt);
+    entries.values().forEach(entry -> entry.listed = entry.lastSeenList == listSequence);
+    return new Change(changed, List.of());
+  }
+
+  private List<EffectiveMember> updateListed(List<Member> members, long now, long registeredAt) {
     boolean firstList = !hasList;
     hasList = true;
     long listNumber = ++listSequence;
     nextRecheckAt = Long.MAX_VALUE;
+    listedCount = 0;
     List<EffectiveMember> changed = new ArrayList<>();
-    int namedCount = 0;
     for (Member member : members) {
       Entry entry = entries.computeIfAbsent(member.id(), id -> new Entry());
       if (entry.lastSeenList != listNumber) {
         entry.lastSeenList = listNumber;
-        namedCount++;
+        entry.listed = true;
+        listedCount++;
         updateEntry(entry, member, firstList ? 0 : registeredAt, now, changed);
       }
     }
-    List<String> removed = namedCount == entries.size() ? List.of() : removeUnlisted(listNumber);
-    return new Change(changed, removed);
+    return changed;
   }
 
   /**
@@ -128,11 +148,20 @@
     nextRecheckAt = Long.MAX_VALUE;
     List<EffectiveMember> changed = new ArrayList<>();
     for (Entry entry : entries.values()) {
-      updateEntry(entry, entry.member, entry.startedAt, now, changed);
+      if (entry.listed) {
+        updateEntry(entry, entry.member, entry.startedAt, now, changed);
+      }
     }
     return new Change(changed, List.of());
   }
 
+  /** The instances held, as the lists had them, in no particular order. */
+  public List<Member> members() {
+    List<Member> members = new ArrayList<>(entries.size());
+    entries.values().forEach(entry -> members.add(entry.member));
+    return members;
+  }
+
   /** The effective state of every instance, in no particular order. */
   public List<EffectiveMember> effectiveMembers() {
     List<EffectiveMember> members = new ArrayList<>(entries.size());
@@ -166,12 +195,12 @@
     }
   }
 
-  private List<String> removeUnlisted(long listNumber) {
+  private List<String> removeUnlisted() {
     List<String> removed = new ArrayList<>();
     Iterator<Entry> iterator = entries.values().iterator();
     while (iterator.hasNext()) {
       Entry entry = iterator.next();
-      if (entry.lastSeenList != listNumber) {
+      if (entry.lastSeenList != listSequence) {
         servingCount -= entry.damping.serves() ? 1 : 0;
         removed.add(entry.member.id());
         iterator.remove();
--- a/proxy/src/main/java/lemondeal/operator/ConsulSection.java
+++ b/proxy/src/main/java/lemondeal/operator/ConsulSection.java
@@ -153,10 +153,12 @@
   private ListGuard.Settings guard() {
     JsonNode guard = node.path("guard");
     ListGuard.Settings defaults = ListGuard.Settings.DEFAULT;
+    long confirmAfter = millis(guard, PATH + ".guard", "confirm_after", defaults.confirmAfterMillis());
     return new ListGuard.Settings(guard.path("most_lost").asDouble(defaults.maxLostShare()),
         guard.path("empty").asBoolean(defaults.acceptEmpty()),
         millis(guard, PATH + ".guard", "stale_most", defaults.maxStaleMillis()),
-        millis(guard, PATH + ".guard", "confirm_after", defaults.confirmAfterMillis()));
+        confirmAfter, millis(guard, PATH + ".guard", "confirm_empty_after",
+            Math.max(confirmAfter, defaults.confirmEmptyAfterMillis())));
   }
 
   private PollBackoff.Settings pollBackoff() {
--- a/proxy/src/test/java/lemondeal/operator/OperatorConfigTest.java
+++ b/proxy/src/test/java/lemondeal/operator/OperatorConfigTest.java
@@ -146,6 +146,8 @@
     assertEquals(new lemondeal.consul.MemberMapping.Field(lemondeal.consul.MemberMapping.FieldLocation.TAG, "cell="),
         consul.mapping().cell());
     assertEquals(new lemondeal.membership.Damping.Settings(3_000, 90_000, 300_000), consul.damping());
+    assertEquals(500, consul.guard().confirmAfterMillis(1));
+    assertEquals(5_000, consul.guard().confirmAfterMillis(0));
     assertEquals(0.3, consul.guard().maxLostShare());
     assertTrue(consul.guard().acceptEmpty());
     assertEquals(null, config.resume());
