--- a/lab/src/test/java/lemondeal/lab/consul/ConsulTestClusterTest.java
+++ b/lab/src/test/java/lemondeal/lab/consul/ConsulTestClusterTest.java
@@ -169,6 +169,30 @@
     }
   }
 
+  /**
+   * Guards against a silent agent that is noticed after the time at which what it has counts as known, which is 2 s after
+   * its wait is over: by then another agent has been asked.
+   */
+  @Test
+  void anotherAgentIsAskedInTimeWhenOneFallsSilent() throws Exception {
+    try (ConsulTestCluster cluster = new ConsulTestCluster(1, 2, DAMPING); FakeConsul second = new FakeConsul()) {
+      cluster.writeOperatorFile(List.of(cluster.consul().address(), second.address()),
+          ConsulTestCluster.consulSettings(DAMPING + "\nwait: 2s"));
+      cluster.reloadProxies();
+      long before = cluster.consul().queryCount();
+      while (cluster.consul().queryCount() == before) {
+        Thread.sleep(10);
+      }
+      cluster.consul().setResponseMode(FakeConsul.ResponseMode.SILENT);
+      long silentNanos = System.nanoTime();
+      while (second.queryCount() == 0) {
+        Thread.sleep(10);
+      }
+      long millis = (System.nanoTime() - silentNanos) / 1_000_000;
+      assertTrue(millis < 2_000 * 17 / 16 + 2_000, "asked after " + millis + " ms");
+    }
+  }
+
   /** A server that alternates between critical and passing gets no work until its status is stable. */
   @Test
   void flappingServerGetsNoWorkUntilStable() throws Exception {
@@ -268,7 +292,7 @@
       expectedLogs.put(FakeConsul.ResponseMode.NESTS, "did not answer: the answer is '[', not");
       expectedLogs.put(FakeConsul.ResponseMode.FLOODS, "an answer of more than 67108864 bytes");
       expectedLogs.put(FakeConsul.ResponseMode.HALF, "not believed (3 of 6 gone at once)");
-      expectedLogs.put(FakeConsul.ResponseMode.STALLS, "no whole answer in");
+      expectedLogs.put(FakeConsul.ResponseMode.STALLS, "no whole answer in 4000 ms");
       for (Map.Entry<FakeConsul.ResponseMode, String> modeAndLog : expectedLogs.entrySet()) {
         cluster.consul().setResponseMode(modeAndLog.getKey());
         awaitLog(cluster, modeAndLog.getValue());
--- a/proxy/src/main/java/lemondeal/consul/ConsulClient.java
+++ b/proxy/src/main/java/lemondeal/consul/ConsulClient.java
@@ -35,10 +35,15 @@
  */
 final class ConsulClient implements AutoCloseable {
   private static final long CONNECT_TIMEOUT_MILLIS = 2_000;
-  /** Added to the wait: Consul extends it by up to a sixteenth, and the answer has to be transferred. */
-  private static final long RESPONSE_SLACK_MILLIS = 3_000;
-  /** Additional time for the body: the JDK's client limits only the time until the response begins. */
-  private static final long BODY_TIMEOUT_MILLIS = 10_000;
+  /** How long the answer of a call without a wait may take to begin. */
+  private static final long RESPONSE_TIMEOUT_MILLIS = 3_000;
+  /**
+   * The same after a wait, which Consul extends by up to a sixteenth. What a silent agent has counts as known 2 s after
+   * the wait is over (STANDING), so that this leaves time to ask another one.
+   */
+  private static final long LATE_RESPONSE_MILLIS = 1_000;
+  /** How long an answer that has begun may take: what it tells counts as known 6 s after it was written (STANDING). */
+  static final long BODY_TIMEOUT_MILLIS = 4_000;
 
   /** The result of a call: an answer of the catalog, or why there is none. */
   record Reply(int status, long index, boolean knownLeader, long lastContact, List<Member> members,
@@ -145,9 +150,10 @@
     return parameters;
   }
 
-  /** Milliseconds after which a call with this index must be abandoned, whatever its state. */
-  long callTimeoutMillis(long index) {
-    return effectiveWaitMillis(index) * 17 / 16 + RESPONSE_SLACK_MILLIS + BODY_TIMEOUT_MILLIS;
+  /** Milliseconds after which a call with this index must be abandoned unless its answer has begun. */
+  long responseTimeoutMillis(long index) {
+    long wait = effectiveWaitMillis(index);
+    return wait > 0 ? wait * 17 / 16 + LATE_RESPONSE_MILLIS : RESPONSE_TIMEOUT_MILLIS;
   }
 
   private long effectiveWaitMillis(long index) {
@@ -159,17 +165,23 @@
    * client, also if the call was cancelled.
    *
    * @param index waits for changes after this index; 0 for an immediate answer
+   * @param onResponseBegun runs before that, once an answer has begun, on a thread of this client
    */
-  Call query(int agent, long index, Consumer<Reply> onReply) {
+  Call query(int agent, long index, Runnable onResponseBegun, Consumer<Reply> onReply) {
     long startedNanos = System.nanoTime();
     Call call = new Call();
     CompletableFuture<HttpResponse<InputStream>> responseFuture = httpClient.sendAsync(
-        request(settings.agents().get(agent), index, effectiveWaitMillis(index)),
+        request(settings.agents().get(agent), index),
         HttpResponse.BodyHandlers.ofInputStream());
     call.setResponseFuture(responseFuture);
-    responseFuture.whenCompleteAsync((response, failure) -> onReply.accept(failure != null
-        ? Reply.failed(describe(failure), elapsedMillis(startedNanos)) : read(call, response, startedNanos)),
-        bodyExecutor);
+    responseFuture.whenCompleteAsync((response, failure) -> {
+      if (failure != null) {
+        onReply.accept(Reply.failed(describe(failure), elapsedMillis(startedNanos)));
+      } else {
+        onResponseBegun.run();
+        onReply.accept(read(call, response, startedNanos));
+      }
+    }, bodyExecutor);
     return call;
   }
 
@@ -177,7 +189,8 @@
     return (System.nanoTime() - startedNanos) / 1_000_000;
   }
 
-  private HttpRequest request(InetSocketAddress agent, long index, long waitMillis) {
+  private HttpRequest request(InetSocketAddress agent, long index) {
+    long waitMillis = effectiveWaitMillis(index);
     StringBuilder query = new StringBuilder();
     add(query, "index", index > 0 ? Long.toString(index) : "");
     add(query, "wait", waitMillis > 0 ? waitMillis + "ms" : "");
@@ -194,7 +207,7 @@
     URI uri = URI.create((settings.tls() == null ? "http" : "https") + "://" + Addresses.format(agent)
         + "/v1/health/service/" + URLEncoder.encode(settings.service(), StandardCharsets.UTF_8) + query);
     HttpRequest.Builder builder = HttpRequest.newBuilder(uri).GET().header("Accept", "application/json")
-        .timeout(Duration.ofMillis(waitMillis + waitMillis / 16 + RESPONSE_SLACK_MILLIS));
+        .timeout(Duration.ofMillis(responseTimeoutMillis(index)));
     if (!token.isEmpty()) {
       builder.header("X-Consul-Token", token);
     }
--- a/proxy/src/main/java/lemondeal/consul/ConsulSource.java
+++ b/proxy/src/main/java/lemondeal/consul/ConsulSource.java
@@ -185,18 +185,31 @@
   private void query() {
     nextCallTimer = null;
     int queryEpoch = ++callEpoch;
-    long queryIndex = watching ? index : 0;
-    long timeoutMillis = client.callTimeoutMillis(queryIndex);
-    pendingCall = client.query(agentIndex, queryIndex, reply -> net.execute(() -> {
-      if (queryEpoch == callEpoch) {
-        pendingCall = null;
-        Timers.cancel(callTimeout);
-        onReply(reply);
-      }
-    }));
-    callTimeout = timers.after(timeoutMillis * MILLI, () -> {
+    // After a failure the answer must not wait: the catalog may have changed, or begun anew with a lower index.
+    long queryIndex = watching && failures == 0 ? index : 0;
+    pendingCall = client.query(agentIndex, queryIndex,
+        () -> net.execute(() -> runInCall(queryEpoch, () -> startCallTimeout(ConsulClient.BODY_TIMEOUT_MILLIS))),
+        reply -> net.execute(() -> runInCall(queryEpoch, () -> {
+          pendingCall = null;
+          Timers.cancel(callTimeout);
+          onReply(reply);
+        })));
+    startCallTimeout(client.responseTimeoutMillis(queryIndex));
+  }
+
+  /** Runs the task unless this call has been abandoned. */
+  private void runInCall(int queryEpoch, Runnable task) {
+    if (queryEpoch == callEpoch) {
+      task.run();
+    }
+  }
+
+  /** Limits the next part of the pending call, until its answer begins or until it is complete. */
+  private void startCallTimeout(long millis) {
+    Timers.cancel(callTimeout);
+    callTimeout = timers.after(millis * MILLI, () -> {
       abandonCall();
-      onReply(ConsulClient.Reply.failed("no whole answer in " + timeoutMillis + " ms", timeoutMillis));
+      onReply(ConsulClient.Reply.failed("no whole answer in " + millis + " ms", millis));
     });
   }
 
@@ -294,14 +307,17 @@
         : PollBackoff.CallOutcome.FAILED;
     InetSocketAddress failedAgent = settings.agents().get(agentIndex);
     // Another agent may answer where this one fails; one that reports too many requests is queried less often instead.
-    if (outcome == PollBackoff.CallOutcome.FAILED && settings.agents().size() > 1) {
+    if (outcome == PollBackoff.CallOutcome.FAILED) {
       agentIndex = (agentIndex + 1) % settings.agents().size();
     }
     logRateLimited("consul-failed", Addresses.format(failedAgent) + " " + reply.status(),
         "lemondeal: Consul at " + Addresses.format(failedAgent) + " did not answer: " + reply.error()
             + "; keeping the current list", "agent", Addresses.format(failedAgent), "why", reply.error());
-    scheduleQuery(PollBackoff.nextDelay(outcome, failures++, reply.durationMillis(), random.nextDouble(),
-        settings.backoff()));
+    failures++;
+    boolean allAgentsFailed = failures % settings.agents().size() == 0;
+    scheduleQuery(outcome == PollBackoff.CallOutcome.FAILED && !allAgentsFailed ? settings.backoff().minInterval()
+        : PollBackoff.nextDelay(outcome, (failures - 1) / settings.agents().size(), reply.durationMillis(),
+            random.nextDouble(), settings.backoff()));
   }
 
   private void scheduleQuery(long millis) {
--- a/proxy/src/test/java/lemondeal/membership/MembershipRulesTest.java
+++ b/proxy/src/test/java/lemondeal/membership/MembershipRulesTest.java
@@ -145,6 +145,8 @@
       longest = Math.max(longest, pause);
     }
     assertTrue(longest <= settings.maxBackoff() * 3 / 2);
+    assertTrue(PollBackoff.nextDelay(PollBackoff.CallOutcome.FAILED, 20, 10, 0.999,
+        new PollBackoff.Settings(100, 500, 30_000)) <= 3_000, "in time before its changes count as known");
     assertEquals(90, PollBackoff.nextDelay(PollBackoff.CallOutcome.ANSWERED, 0, 10, 0.3, settings),
         "at most ten calls a second");
     assertEquals(0, PollBackoff.nextDelay(PollBackoff.CallOutcome.ANSWERED, 5, 30_000, 0.3, settings));
