Keep the time limit of a list that a reload takes over

What callers saw: a proxy whose list had expired placed requests by it again for 7 s after each SIGHUP, so with new configurations in a row it never expired.

Cause: a reload makes a new source with a new ListClock, whose time begins at the reload, while the list is the old one.

Change: a generation keeps the validity of the list that it takes over until its own source has delivered one. Where discovery moves, its time begins at the reload, since it could not be reached before.

Test: ExpiredListTest.aReloadDoesNotRenewAnExpiredList, red without the change (list_expired was 0).

--- a/proxy/src/main/java/lemondeal/proxy/Generation.java
+++ b/proxy/src/main/java/lemondeal/proxy/Generation.java
@@ -29,6 +29,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.stream.IntStream;
 import lemondeal.codec.OpenLine;
 import lemondeal.codec.ProtocolException;
 import lemondeal.config.Config;
@@ -69,6 +70,10 @@
   private final Set<ClientLink> remainingClients = new HashSet<>();
   /** Whether it started with a list: one saved before the process's start is then ignored. */
   private boolean startedWithList;
+  /** Whether its own source has delivered a list since the start. */
+  private boolean listDelivered;
+  /** The validity, by pool, of the list that it took over from an earlier generation; empty if there is none. */
+  private List<ListClock.Validity> inheritedValidity = List.of();
   /** The configuration's server list in discovery's form, until this generation has started: it is large. */
   private Map<String, Object> configuredList;
   /** Fingerprint of that list, which shows whether newer settings bring another one. */
@@ -143,6 +148,9 @@
       start(seed);
       return;
     }
+    if (config.discovery().equals(previous.config.discovery())) {
+      inheritedValidity = IntStream.range(0, source.poolCount()).mapToObj(previous::listValidity).toList();
+    }
     ServerList list = sameList ? servers.takeOver(previous.servers, configured)
         : previous.servers.withDrainsAndRemovals(configured);
     startedWithList = true;
@@ -219,6 +227,7 @@
     if (list.kind() == ListKind.SAVED && startedWithList) {
       return;
     }
+    listDelivered |= list.kind() == ListKind.FULL || list.kind() == ListKind.CHANGES;
     servers.apply(list);
     if (!dropped) {
       dispatchList(list);
@@ -234,9 +243,11 @@
     }
   }
 
-  /** For how long new requests may be sent by the list of this generation's own source. */
+  /** For how long new requests may be sent by the list of this generation's own source, or by the inherited one. */
   ListClock.Validity listValidity(int pool) {
-    return source.validity(pool);
+    ListClock.Validity own = source.validity(pool);
+    boolean inherits = !listDelivered && !inheritedValidity.isEmpty();
+    return inherits && inheritedValidity.get(pool).until() < own.until() ? inheritedValidity.get(pool) : own;
   }
 
   int poolCount() {
--- a/proxy/src/test/java/lemondeal/proxy/ExpiredListTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ExpiredListTest.java
@@ -4,16 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
+import java.util.Map;
 import lemondeal.Balancer;
 import lemondeal.Balancer.Arrived;
 import lemondeal.Balancer.Ended;
 import lemondeal.Balancer.Outcome;
 import lemondeal.Balancer.Send;
+import lemondeal.config.Config;
 import lemondeal.module.DecisionModule;
 import lemondeal.proxy.ProxyFixture.LineSocket;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /**
  * Requests while the held list is older than the platform allows: discovery may have listed any of its servers as
@@ -21,16 +26,20 @@
  */
 @Timeout(60)
 class ExpiredListTest {
+  @TempDir
+  Path folder;
+  private String configText;
+
   private static final long SECOND = 1_000_000;
   private static final String FIELDS = "c=chat,d=2000";
   private static final String UNAVAILABLE = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
 
   /** A proxy in poll mode that starts with a list. {@code module} null stands for a script that always sends. */
-  private static ProxyFixture startProxy(Balancer module) throws IOException {
+  private ProxyFixture startProxy(Balancer module) throws IOException {
     return ProxyFixture.of(event -> event instanceof Arrived a
         ? List.of(new Send(a.request().id(), ProxyFixture.SERVER, 0)) : List.of(), options -> {
           options.module = module;
-          options.editConfig = text -> ProxyFixture.withDefaultRules(text)
+          options.editConfig = text -> configText = ProxyFixture.withDefaultRules(text)
               .replace("\"settings\":{", "\"settings\":{\"membershipMode\":\"subscribe\",")
               .replace("\"rules\":{", "\"rules\":{\"askEvery\":10000000,")
               .replace("\"permissions\":{", "\"permissions\":{\"tryLimit\":3,");
@@ -112,6 +121,20 @@
     }
   }
 
+  /** Guards against a reload that makes the list of the settings before it valid again. */
+  @Test
+  void aReloadDoesNotRenewAnExpiredList() throws Exception {
+    try (ProxyFixture fixture = startProxy(new DecisionModule())) {
+      fixture.proxy.setModuleFactory(DecisionModule::new);
+      rejectCalls(fixture, 3 * SECOND, 7 * SECOND);
+      Path changed = Files.writeString(folder.resolve("config.json"), configText.replace("60000", "70000"));
+      fixture.proxy.reconfigure(Config.read(Map.of("GW_CONFIG", changed.toString())));
+      fixture.awaitQueuedWork();
+      assertEquals(1, fixture.metric("list_expired"));
+      assertEquals("BUSY", fixture.newClient(FIELDS).readLine().split(" ")[0]);
+    }
+  }
+
   /** Guards against using what a server accepted long ago. */
   @Test
   void anAcceptedRequestShowsNothingAfterSevenSeconds() throws Exception {
