Let an empty answer of Consul's not confirm a partial one

Need: the second look at an answer that lacks most servers comes after 0.5 s now, that at an empty one after 5 s, and both counted from the first rejected answer of either kind. A catalogue that came back empty, and 1 s later with a few of its services, was believed without a second look.

Change: each kind starts its own time. Found by reading; no test of its own, since the order of the two answers within ConsulSource has no fixture yet (ROADMAP). Measured: the module compiles, ExpiredListTest green.

--- a/proxy/src/main/java/lemondeal/consul/ConsulSource.java
+++ b/proxy/src/main/java/lemondeal/consul/ConsulSource.java
@@ -52,7 +52,10 @@
   private ConsulSettings settings;
   private ConsulClient client;
   private long index;
+  /** When an answer was first rejected for its size, in milliseconds; 0 if the last one was not. */
   private long rejectedSince;
+  /** Whether that answer was empty. */
+  private boolean emptyRejected;
   private long version;
   private boolean fullListSent;
   /** Whether the operator has configured another list: its first answer is then expected to lack the instances held. */
@@ -271,10 +274,13 @@
         "why", reject.reason());
     index = reject.nextIndex();
     if (reject.bySize()) {
-      if (!reply.members().isEmpty()) {
+      boolean empty = reply.members().isEmpty();
+      if (!empty) {
         deliver(memberTable.applyPartial(reply.members(), now, System.currentTimeMillis()), now);
       }
-      rejectedSince = rejectedSince == 0 ? now : rejectedSince;
+      // An empty answer confirms none that lacks most instances, nor the other way round.
+      rejectedSince = rejectedSince == 0 || empty != emptyRejected ? now : rejectedSince;
+      emptyRejected = empty;
       scheduleConfirmation(settings.guard().confirmAfterMillis(reply.members().size()) - (now - rejectedSince));
     }
     scheduleQuery(reject.bySize()
