Use an expired list on while the end of a watch shows a possible outage

What callers saw: in an outage of discovery, which fails calls as a crowded one does, all proxies refused most requests once their lists had expired, 7 s later.

Cause: a call that fails after a wait shows nothing of the outage, but the end of the watch does, and was not asked for: "Watches end when discovery goes down" (PROTOCOL).

Change: after the end of an intact watch, and until a call is answered, the list is used on for servers that have not refused a request since they last accepted one. A start, a silent watch and a discovery that moves have no such sign: there the limit stands.

Tests: ExpiredListTest.afterAWatchHasEndedRequestsGoToServersThatHaveNotRefusedOne, red before (no request came), and a table in ListClockTest.

--- a/proxy/src/main/java/lemondeal/Balancer.java
+++ b/proxy/src/main/java/lemondeal/Balancer.java
@@ -89,10 +89,11 @@
   /**
    * Until when requests may be sent by the held list of a pool, on the caller's clock: later, servers that it has as
    * ready may have been draining for too long. A server that has accepted a request may still get others until
-   * {@code afterAcceptance} after that was sent. Without such an event the list may always be used, as with
-   * {@link #UNLIMITED}.
+   * {@code afterAcceptance} after that was sent. {@code outagePossible}: the list may not have expired then, since
+   * discovery may be down; a server gets requests unless it has refused one since it last accepted one. Without such an
+   * event the list may always be used, as with {@link #UNLIMITED}.
    */
-  record ListValidity(int pool, long until, long afterAcceptance) implements Event {
+  record ListValidity(int pool, long until, boolean outagePossible, long afterAcceptance) implements Event {
     /** Value of {@code until} that sets no limit. */
     public static final long UNLIMITED = Long.MAX_VALUE;
   }
--- a/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
+++ b/proxy/src/main/java/lemondeal/discovery/clock/ListClock.java
@@ -68,11 +68,13 @@
    * For how long new requests may be sent by a held list.
    *
    * @param until when it expires, {@link #NEVER} if no limit is known
+   * @param outagePossible whether discovery may be down, in which case nothing new counts and the list has not expired:
+   *     it ended an intact watch, as it does when it goes down (PROTOCOL), and has answered no call since
    * @param afterAcceptance how long an expired list may still be used for a server, counted from a request that it has
    *     accepted: a draining server accepts none, and none drains before it is listed so; 0 if that does not hold
    */
-  public record Validity(long until, long afterAcceptance) {
-    public static final Validity UNLIMITED = new Validity(NEVER, 0);
+  public record Validity(long until, boolean outagePossible, long afterAcceptance) {
+    public static final Validity UNLIMITED = new Validity(NEVER, false, 0);
   }
 
   private final Settings settings;
@@ -95,6 +97,8 @@
   private boolean unreachable;
   /** Whether a reachable discovery or agent has failed a call since the last line. */
   private boolean rejected;
+  /** Whether the last intact watch was ended by discovery, and no line has come since. */
+  private boolean watchEnded;
   /** When discovery was last seen to be down. */
   private long lastUnreachableAt = -NEVER;
   /**
@@ -138,6 +142,7 @@
     silentSince = NEVER;
     staleSince = NEVER;
     rejected = false;
+    watchEnded = false;
   }
 
   /**
@@ -169,6 +174,7 @@
 
   private void endCall(long now) {
     rejected |= !anyLineReceived;
+    watchEnded |= anyLineReceived && !isBroken(now);
     staleSince = Math.min(staleSince, now);
     if (isBroken(now)) {
       silentSince = Math.min(silentSince, lastLineAt);
@@ -208,7 +214,9 @@
     }
   }
 
-  /** Discovery is reachable again, by its answer or its queue. It may have been so since it was last seen to be down. */
+  /**
+   * Discovery is reachable again, by its answer or its queue. It may have been so since it was last seen to be down.
+   */
   public void discoveryReachable(long now) {
     if (unreachable) {
       unreachable = false;
@@ -227,6 +235,7 @@
   public void reconfigured(long now) {
     unreachable = false;
     failures = 0;
+    watchEnded = false;
     reachableSince = now;
     staleSince = Math.min(staleSince, now);
     earliestKnownAt = now + RELOAD_KNOWN_DELAY;
@@ -322,7 +331,7 @@
     long since = Math.max(missedSince, startedAt);
     long until = settings.pushed() && !rejected ? since + SILENCE_KNOWN_DELAY + settings.drainGrace() + settings.slack()
         : sendDeadline(since);
-    return new Validity(until, shortestKnownDelay() + settings.drainGrace() + settings.slack());
+    return new Validity(until, watchEnded, shortestKnownDelay() + settings.drainGrace() + settings.slack());
   }
 
   /** The least time from a change at discovery until it counts as known here although it has not arrived. */
--- a/proxy/src/main/java/lemondeal/module/NodeState.java
+++ b/proxy/src/main/java/lemondeal/module/NodeState.java
@@ -21,7 +21,7 @@
   // By token of their wake-up.
   final Map<Long, RequestState> waitingRequests = new HashMap<>();
   long nextWakeUpToken = 16; // smaller tokens are reserved
-  ListValidity listValidity = new ListValidity(0, ListValidity.UNLIMITED, 0);
+  ListValidity listValidity = new ListValidity(0, ListValidity.UNLIMITED, false, 0);
   private long expiryLoggedAt = NEVER;
 
   void start(Start event) {
@@ -45,9 +45,10 @@
     return now >= listValidity.until();
   }
 
-  /** Whether that may be so for this server: it has not accepted a request of late. */
+  /** Whether that may be so for this server: it has not accepted a request of late, or has refused one since. */
   boolean isListExpired(Server server) {
-    return isListExpired() && now >= server.acceptedAt + listValidity.afterAcceptance();
+    return isListExpired() && (server.refusedLast
+        || (!listValidity.outagePossible() && now >= server.acceptedAt + listValidity.afterAcceptance()));
   }
 
   /** Logs that a request is refused since the list has expired; rate-limited. */
--- a/proxy/src/main/java/lemondeal/module/RequestLifecycle.java
+++ b/proxy/src/main/java/lemondeal/module/RequestLifecycle.java
@@ -121,6 +121,7 @@
     Server server = node.servers.get(event.server());
     if (server != null) {
       server.acceptedAt = Math.max(server.acceptedAt, node.now - event.elapsed());
+      server.refusedLast = false;
       health.setupEnded(server, Outcome.SERVED);
     }
     RequestState request = node.requests.get(event.id());
@@ -135,7 +136,7 @@
     Server server = node.servers.get(event.server());
     boolean wasEstablished = request != null && request.established;
     if (server != null && !wasEstablished) {
-      server.acceptedAt = event.outcome() == Outcome.REFUSED ? NodeState.NEVER : server.acceptedAt;
+      server.refusedLast |= event.outcome() == Outcome.REFUSED;
       health.setupEnded(server, event.outcome());
     } else if (server != null && event.outcome() == Outcome.RESET) {
       health.connectionLost(server);
--- a/proxy/src/main/java/lemondeal/module/Server.java
+++ b/proxy/src/main/java/lemondeal/module/Server.java
@@ -23,7 +23,8 @@
   int lostConnections;
   long lossWindowStart = NEVER;
   long unansweredAt = NEVER; // when a line sent there last went unanswered
-  long acceptedAt = NEVER; // when the latest request that it accepted was sent; NEVER if it refused one since
+  long acceptedAt = NEVER; // when the latest request that it accepted was sent
+  boolean refusedLast; // whether it has refused a request since
   long unreachableAt = NEVER; // when an attempt or probe last failed to reach it
   long coldWindow = -1;
   int coldSends;
@@ -69,5 +70,6 @@
     coldWindow = -1;
     shedShare = 0;
     acceptedAt = NEVER;
+    refusedLast = false;
   }
 }
--- a/proxy/src/main/java/lemondeal/proxy/Generations.java
+++ b/proxy/src/main/java/lemondeal/proxy/Generations.java
@@ -86,9 +86,9 @@
       validity = previousWatching.listValidity(pool);
     }
     if (validity.until() >= ListClock.NEVER) {
-      return new ListValidity(pool, ListValidity.UNLIMITED, 0);
+      return new ListValidity(pool, ListValidity.UNLIMITED, false, 0);
     }
-    return new ListValidity(pool, validity.until() - PAUSE_ALLOWANCE,
+    return new ListValidity(pool, validity.until() - PAUSE_ALLOWANCE, validity.outagePossible(),
         Math.max(0, validity.afterAcceptance() - PAUSE_ALLOWANCE));
   }
 
--- a/proxy/src/main/java/lemondeal/proxy/KnownServers.java
+++ b/proxy/src/main/java/lemondeal/proxy/KnownServers.java
@@ -116,7 +116,7 @@
   /** Whether the list that names the server is too old to send a new request there at {@code now}. */
   boolean isListExpired(String server, ListValidity validity, long now) {
     Long lastAcceptedAt = acceptedAt.get(server);
-    return now >= validity.until()
+    return now >= validity.until() && !validity.outagePossible()
         && (lastAcceptedAt == null || now >= lastAcceptedAt + validity.afterAcceptance());
   }
 
--- a/proxy/src/main/java/lemondeal/proxy/ListValidityTracker.java
+++ b/proxy/src/main/java/lemondeal/proxy/ListValidityTracker.java
@@ -17,7 +17,7 @@
   ListValidityTracker(int poolCount, IntFunction<ListValidity> validity) {
     this.validity = validity;
     for (int pool = 0; pool < poolCount; pool++) {
-      toldByPool.add(new ListValidity(pool, ListValidity.UNLIMITED, 0));
+      toldByPool.add(new ListValidity(pool, ListValidity.UNLIMITED, false, 0));
     }
   }
 
--- a/proxy/src/main/java/lemondeal/trace/TracingBalancer.java
+++ b/proxy/src/main/java/lemondeal/trace/TracingBalancer.java
@@ -81,7 +81,7 @@
     } else if (event instanceof ListValidity e) {
       return "list-validity pool=" + e.pool() + " left="
           + (e.until() == ListValidity.UNLIMITED ? "unlimited" : String.valueOf((e.until() - now) / 1000))
-          + " accepted=" + e.afterAcceptance() / 1000;
+          + " outage=" + e.outagePossible() + " accepted=" + e.afterAcceptance() / 1000;
     }
     return event.getClass().getSimpleName().toLowerCase(java.util.Locale.ROOT);
   }
--- a/proxy/src/test/java/lemondeal/PoolRouterTest.java
+++ b/proxy/src/test/java/lemondeal/PoolRouterTest.java
@@ -96,7 +96,7 @@
     PoolRouter router = startedRouter();
     router.on(1, list(0, ListKind.FULL, ServerState.READY, "a1"));
     router.on(1, list(1, ListKind.FULL, ServerState.READY, "b1"));
-    router.on(2, new Balancer.ListValidity(1, 3, 0));
+    router.on(2, new Balancer.ListValidity(1, 3, false, 0));
     assertTrue(router.on(4, new Arrived(request("r0", 0, 4))).stream().anyMatch(action -> action instanceof Send));
     assertFalse(router.on(5, new Arrived(request("r1", 1, 5))).stream().anyMatch(action -> action instanceof Send));
   }
--- a/proxy/src/test/java/lemondeal/discovery/clock/ListClockTest.java
+++ b/proxy/src/test/java/lemondeal/discovery/clock/ListClockTest.java
@@ -105,6 +105,16 @@
     assertEquals(until.equals("never") ? ListClock.NEVER : micros(until), allowedUntil, reason);
   }
 
+  /** A list may be used for longer only as long as discovery may be down, which the end of an intact watch shows. */
+  @ParameterizedTest
+  @CsvSource(delimiter = ';', value = {"0:call 0.1:line 2:line 3:fail 3:call 6:reject; true",
+      "0:call 3:reject; false", "0:call 0.1:line 2:line 5:fail; false", "0:call 0.1:answer 1:call 4:reject; false",
+      "0:call 0.1:line 2:line 3:fail 3:call 6:reject 6:reload; false",
+      "0:call 0.1:line 2:line 3:fail 3:call 3.1:line 6:fail; false"})
+  void anOutageIsPossibleAfterTheEndOfAnIntactWatch(String history, boolean possible) {
+    assertEquals(possible, clockAfter("asked", history).validity(7_000_000).outagePossible());
+  }
+
   /**
    * The next call comes before the held list expires, whatever the jitter; in push mode there is time for two failed
    * calls.
--- a/proxy/src/test/java/lemondeal/proxy/ExpiredListTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ExpiredListTest.java
@@ -11,8 +11,10 @@
 import lemondeal.Balancer;
 import lemondeal.Balancer.Arrived;
 import lemondeal.Balancer.Ended;
+import lemondeal.Balancer.ListKind;
 import lemondeal.Balancer.Outcome;
 import lemondeal.Balancer.Send;
+import lemondeal.Balancer.ServerList;
 import lemondeal.config.Config;
 import lemondeal.module.DecisionModule;
 import lemondeal.proxy.ProxyFixture.LineSocket;
@@ -79,6 +81,12 @@
     assertEquals("UP r", client.readLine());
   }
 
+  private static void awaitList(ProxyFixture fixture, ListKind kind) throws InterruptedException {
+    while (fixture.awaitEvent(ServerList.class).kind() != kind) {
+      continue;
+    }
+  }
+
   /** The request waits for a list for a second, and no longer. */
   private static void assertRefused(ProxyFixture fixture) throws Exception {
     LineSocket client = fixture.newClient(FIELDS);
@@ -121,6 +129,29 @@
     }
   }
 
+  /**
+   * Guards against refusing most requests in an outage of a discovery that fails calls as a crowded one does: it ended
+   * the watch, as it does when it goes down. A server that refuses a request may drain, and gets no more.
+   */
+  @Test
+  void afterAWatchHasEndedRequestsGoToServersThatHaveNotRefusedOne() throws Exception {
+    try (ProxyFixture fixture = startProxy(new DecisionModule())) {
+      fixture.advanceClock(SECOND / 2);
+      LineSocket watch = acceptCall(fixture);
+      watch.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n");
+      awaitList(fixture, ListKind.CHANGES);
+      watch.close();
+      awaitList(fixture, ListKind.FAILED);
+      rejectCalls(fixture, 3 * SECOND, 20 * SECOND);
+      LineSocket client = fixture.newClient(FIELDS);
+      acceptRequest(fixture).send("BUSY\r\n");
+      fixture.awaitEvent(Ended.class);
+      fixture.advanceClock(SECOND + SECOND / 5);
+      assertEquals("BUSY", client.readLine().split(" ")[0]);
+      assertRefused(fixture);
+    }
+  }
+
   /** Guards against a reload that makes the list of the settings before it valid again. */
   @Test
   void aReloadDoesNotRenewAnExpiredList() throws Exception {
