--- a/proxy/src/main/java/lemondeal/module/NodeState.java
+++ b/proxy/src/main/java/lemondeal/module/NodeState.java
@@ -45,10 +45,11 @@
     return now >= listValidity.until();
   }
 
-  /** Whether that may be so for this server: it has not accepted a request of late, or has refused one since. */
+  /** Whether that may be so for this server: it has accepted no request lately, or refused one since. */
   boolean isListExpired(Server server) {
-    return isListExpired() && (server.refusedLast
-        || (!listValidity.outagePossible() && now >= server.acceptedAt + listValidity.afterAcceptance()));
+    boolean acceptedLately = now < server.acceptedAt + listValidity.afterAcceptance();
+    boolean mayBeUsed = !server.refusedLast && (acceptedLately || listValidity.outagePossible());
+    return isListExpired() && !mayBeUsed;
   }
 
   /** Logs that a request is refused since the list has expired; rate-limited. */
