Let the test of a quiet connection tell measured delays from silence

Cause, traced: the test demanded that no MessageDelay comes at all. On a busy machine the answers to the active client take over 20 ms, a third of its class's aim, and that is rightly told as their delay. With 150 busy loops 12 of 12 runs had one or two such events, all of the active connection, 0.01 to 56 ms; the silence that the test is about is 400 ms.

Change: no event may be of the quiet connection, and none may reach the 400 ms. Events of before are dropped ahead of the last step, which took any old one for the awaited one; that is stricter.

Measured: 12 of 12 green with 150 busy loops, green alone.

--- a/proxy/src/test/java/lemondeal/proxy/ProxyTest.java
+++ b/proxy/src/test/java/lemondeal/proxy/ProxyTest.java
@@ -315,6 +315,7 @@
     try (ProxyFixture fixture = new ProxyFixture(ProxyTest::sendOnce)) {
       LineSocket quiet = fixture.newClient(OPEN_FIELDS);
       establish(fixture, quiet);
+      String quietId = fixture.awaitEvent(Established.class).id();
       LineSocket active = fixture.newClient(OPEN_FIELDS);
       LineSocket server = establish(fixture, active);
       quiet.send("anyone there?\r\n");
@@ -327,7 +328,10 @@
         server.send("lo\r\n");
         assertEquals("hello", active.readLine());
       }
-      assertFalse(fixture.events.stream().anyMatch(MessageDelay.class::isInstance));
+      // On a busy machine the answers to the active client may come late, which is told as their measured delay.
+      assertFalse(fixture.events.stream().anyMatch(event -> event instanceof MessageDelay delay
+          && (delay.id().equals(quietId) || delay.millis() * 1000 >= fixture.limits().slowAnswerDelay())));
+      fixture.events.clear();
       LineSocket third = fixture.newClient(OPEN_FIELDS);
       establish(fixture, third);
       active.send("and me?\r\n");
